Idle connections are kept only where callers come back; terminal where further tries abound

Cause at full size: about 1,000 callers each open a connection to each small server, keep it idle for 30 s and fill its table; 73 to 86% of attempts got none.

--- a/vetchford/benchlink/link.py
+++ b/vetchford/benchlink/link.py
@@ -101,6 +101,9 @@
     def stamp(self, value: float) -> None:
         self.act("stamp", x=value)
 
+    def keep_idle(self, keep_for: float) -> None:
+        self.act("reapAfter", keepFor=math.ceil(keep_for * NS_PER_MS))
+
     def wake(self, delay: float) -> None:
         self.act("notifyMe", **{"in": math.ceil(delay * NS_PER_MS)}, mark="sweep")
 
@@ -263,6 +266,7 @@
             longest=pauses,
             callers=info.get("callers") or 1,
             cores=cores,
+            idle=(info.get("callerIdle") or 0) / NS_PER_MS,
         ),
         by_work=told.get("valueBy") == "work",
         can_stop=info.get("halt") in ("drop", "pause"),
--- a/vetchford/host.py
+++ b/vetchford/host.py
@@ -42,5 +42,8 @@
     def stamp(self, value: float) -> None:
         """The free value sent back with each answer from now on."""
 
+    def keep_idle(self, keep_for: float) -> None:
+        """Close connections that were silent for this long."""
+
     def wake(self, delay: float) -> None:
         """Ask for one `woke` after this long; there is no way to take it back."""
--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -11,7 +11,7 @@
   3. call bound: calls below stay under this server's slice; waiting ones skip the call where that is worth it
   4. due-time gate: what can't finish in time by the measured speed is answered at once, not held
   5. tenant share: utility beyond a tenant's share counts for less
-  6. advice: pause, terminal, free value, fitness and stall
+  6. advice: pause, terminal, free value, fitness and stall, how long connections stay open idle
 """
 
 import heapq
@@ -188,10 +188,13 @@
 class Advice:
     """What callers are told: how long to stay away, and the free value where there is one."""
 
-    def __init__(self, host: Host, seed: int, say: str, longest: float, callers: int, cores: int) -> None:
+    def __init__(self, host: Host, seed: int, say: str, longest: float, callers: int, cores: int,
+                 idle: float) -> None:
         self.host, self.seed, self.say, self.longest = host, seed, say, longest
-        self.credit = 4.0 * cores / max(1, callers)  # a caller's tasks at once: a core runs one, holds three
-        self.read = self.turned_away = 0.0  # decaying counts
+        self.callers, self.idle, self.kept = max(1, callers), idle, idle
+        self.visits, self.since, self.sweeps = 0.0, 0, 0  # a second; reads since the last sweep; sweeps so far
+        self.credit = 4.0 * cores / self.callers  # a caller's tasks at once: a core runs one, holds three
+        self.read = self.turned_away = self.further = 0.0  # decaying counts; further tries among the read
         self.open, self.said, self.counter = 1.0, -1.0, 0  # share of the traffic wanted; the value told last
 
     def pause(self, wanted: float) -> float:
@@ -206,11 +209,21 @@
         move = 1.0 - 0.015 * min(1.0, share) if share > 0.15 else 1.0075
         self.open = min(1.0, max(0.02, self.open * move))
         self.read, self.turned_away = self.read * 0.95, self.turned_away * 0.95  # a second
+        self.further *= 0.95
         odds = self.open * min(1.0, speed)
         value = {"level": 1.0 - self.open, "credit": self.credit * self.open}.get(self.say, odds)
         if self.say != "silent" and abs(value - self.said) > 0.02:
             self.said = value
             self.host.stamp(value)
+        # A new connection costs about what five seconds of an open one do. Callers that come less often than
+        # that would fill the table with connections that nobody uses again, and shut out the next ones.
+        self.sweeps += 1
+        self.visits += (20.0 * self.since - self.visits) / min(100, self.sweeps)  # looks back some five seconds
+        self.since = 0
+        keep = max(10.0, self.idle * min(1.0, (5.0 * self.visits / self.callers) ** 2))
+        if self.idle and not 0.8 < keep / self.kept < 1.25 or keep == self.idle > self.kept:
+            self.kept = keep
+            self.host.keep_idle(keep)
 
 
 class Node:
@@ -251,6 +264,8 @@
         self.tasks[q] = task
         self.counters.add(caller, size)
         self.advice.read += 1.0
+        self.advice.since += 1
+        self.advice.further += again
         if not again:
             kind.asked += kind.utility * (task.work if self.by_work else 1.0)
         self.lag += self.RECENT * (queued_for / max(1.0, due - at) - self.lag)
@@ -460,8 +475,10 @@
     def _turn_away(self, task: Task, terminal: bool, pause: float) -> None:
         self.advice.turned_away += 1.0
         self._settle(task)
-        # A further try that is rejected again has found two servers full: more only spread the overload.
-        self.host.reject(task.q, terminal or task.again, pause)
+        # A further try that is rejected again has found two servers full: more only spread the overload. So it
+        # is for all where a quarter of what comes was turned away elsewhere.
+        spread = self.advice.further > 0.25 * self.advice.read
+        self.host.reject(task.q, terminal or task.again or spread, pause)
         self._leave(task)
 
     def _settle(self, task: Task) -> None:
