A full table shields a server from a jam of reading; one run at least goes on

Cause: with shared slowness each attempt costs over 100 ms of handshake and reading, more than two cores have; servers read everything too late and ran nothing (a third of two cores is under one run). Now idle connections are kept longer as the wait to be read grows, so that the table turns newcomers away unread, and one run goes on. Told from other overload by the wait to be read.

--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -220,7 +220,8 @@
         self.sweeps += 1
         self.visits += (20.0 * self.since - self.visits) / min(100, self.sweeps)  # looks back some five seconds
         self.since = 0
-        keep = max(10.0, self.idle * min(1.0, (5.0 * self.visits / self.callers) ** 2))
+        keep = (5.0 * self.visits / self.callers) ** 2
+        keep = max(10.0, self.idle * min(1.0, max(keep, 2.0 * lag - 0.2)))
         if self.idle and not 0.8 < keep / self.kept < 1.25 or keep == self.idle > self.kept:
             self.kept = keep
             self.host.keep_idle(keep)
@@ -418,7 +419,7 @@
     def _slots(self) -> float:
         # Reading crowds the cores as runs do. Where it is dear, runs that ignore it starve it, and all that
         # is read comes too late. A third of the cores go on with runs however much there is to read.
-        return max(self.cores / 3.0, self.limit.limit - self.reading)
+        return max(1.0, self.cores / 3.0, self.limit.limit - self.reading)
 
     def _fill(self, now: float) -> None:
         """Starts held tasks, best first, as far as the limit, the memory and the calls in wait allow."""
