--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -195,15 +195,18 @@
         self.visits, self.since, self.sweeps = 0.0, 0, 0  # a second; reads since the last sweep; sweeps so far
         self.credit = 4.0 * cores / self.callers  # a caller's tasks at once: a core runs one, holds three
         self.read = self.turned_away = self.further = 0.0  # decaying counts; further tries among the read
+        self.asked = 0.0
         self.open, self.said, self.counter = 1.0, -1.0, 0  # share of the traffic wanted; the value told last
 
     def pause(self, wanted: float) -> float:
         """Spread over half its length, so that callers do not come back in step."""
         self.counter += 1
         chance = zlib.crc32(b"%d:%d" % (self.seed, self.counter)) / 2**32
-        return min(self.longest, wanted) * (0.5 + 0.5 * chance)
+        told = min(self.longest, wanted) * (0.5 + 0.5 * chance)
+        self.asked += 0.05 * (told - self.asked)
+        return told
 
-    def tell(self, lag: float, speed: float) -> None:
+    def tell(self, lag: float, speed: float, reading: float) -> None:
         share = max(lag, self.turned_away / max(1.0, self.read))
         # A rejected share of 0.15 is left alone: it keeps the hold fed. Callers hear late: seconds a swing.
         move = 1.0 - 0.015 * min(1.0, share) if share > 0.15 else 1.0075
@@ -221,7 +224,7 @@
         self.visits += (20.0 * self.since - self.visits) / min(100, self.sweeps)  # looks back some five seconds
         self.since = 0
         keep = (5.0 * self.visits / self.callers) ** 2
-        keep = max(10.0, self.idle * min(1.0, max(keep, 2.0 * lag - 0.2)))
+        keep = max(10.0, self.idle * min(1.0, max(keep, (reading - 0.25) / 0.75)))
         if self.idle and not 0.8 < keep / self.kept < 1.25 or keep == self.idle > self.kept:
             self.kept = keep
             self.host.keep_idle(keep)
@@ -261,6 +264,7 @@
         limit = at + kind.limit if limit_at is None else limit_at
         limit = min(limit, self.kill)
         due = at + min(kind.due, 0.95 * self.patience.setdefault(caller, 1.0) * kind.limit)
+        due -= self.advice.asked if again else 0.0  # it stayed away about as long as this server asks for
         task = Task(q, kind, tenant, caller, at, min(due, limit), limit, work or 1.0, size, again)
         self.tasks[q] = task
         self.counters.add(caller, size)
@@ -269,7 +273,7 @@
         self.advice.further += again
         if not again:
             kind.asked += kind.utility * (task.work if self.by_work else 1.0)
-        self.lag += self.RECENT * (queued_for / max(1.0, due - at) - self.lag)
+        self.lag += self.RECENT * (queued_for / max(1.0, kind.due) - self.lag)
         if self.tenants and tenant >= 0 and not again:
             self.tenants.count(now, tenant)
         late = at > self.notice + self.grace or self.stalled or limit <= now + self.SWEEP
@@ -383,7 +387,8 @@
         self._call_next(now)
         # Told work is time on a standard core, whose server asks for half: odds choose between servers.
         told = self.mean_work > 1.0
-        self.advice.tell(self.lag, 0.5 * self.mean_work / self.mean_run if told else 1.0 / self.stretch)
+        self.advice.tell(self.lag, 0.5 * self.mean_work / self.mean_run if told else 1.0 / self.stretch,
+                         self.reading / self.cores)
         self._fill(now)
 
     def _density(self, task: Task) -> float:
