--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -206,7 +206,7 @@
         self.asked += 0.05 * (told - self.asked)
         return told
 
-    def tell(self, lag: float, speed: float, reading: float) -> None:
+    def tell(self, lag: float, speed: float) -> None:
         share = max(lag, self.turned_away / max(1.0, self.read))
         # A rejected share of 0.15 is left alone: it keeps the hold fed. Callers hear late: seconds a swing.
         move = 1.0 - 0.015 * min(1.0, share) if share > 0.15 else 1.0075
@@ -224,7 +224,7 @@
         self.visits += (20.0 * self.since - self.visits) / min(100, self.sweeps)  # looks back some five seconds
         self.since = 0
         keep = (5.0 * self.visits / self.callers) ** 2
-        keep = max(10.0, self.idle * min(1.0, max(keep, (reading - 0.25) / 0.75)))
+        keep = max(10.0, self.idle * min(1.0, max(keep, 2.0 * lag - 0.2)))
         if self.idle and not 0.8 < keep / self.kept < 1.25 or keep == self.idle > self.kept:
             self.kept = keep
             self.host.keep_idle(keep)
@@ -264,7 +264,7 @@
         limit = at + kind.limit if limit_at is None else limit_at
         limit = min(limit, self.kill)
         due = at + min(kind.due, 0.95 * self.patience.setdefault(caller, 1.0) * kind.limit)
-        due -= self.advice.asked if again else 0.0  # it stayed away about as long as this server asks for
+        due -= 0.5 * self.advice.asked if again else 0.0  # it stayed away about as long as this server asks for
         task = Task(q, kind, tenant, caller, at, min(due, limit), limit, work or 1.0, size, again)
         self.tasks[q] = task
         self.counters.add(caller, size)
@@ -387,8 +387,7 @@
         self._call_next(now)
         # Told work is time on a standard core, whose server asks for half: odds choose between servers.
         told = self.mean_work > 1.0
-        self.advice.tell(self.lag, 0.5 * self.mean_work / self.mean_run if told else 1.0 / self.stretch,
-                         self.reading / self.cores)
+        self.advice.tell(self.lag, 0.5 * self.mean_work / self.mean_run if told else 1.0 / self.stretch)
         self._fill(now)
 
     def _density(self, task: Task) -> float:
