--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -195,7 +195,7 @@
         self.visits, self.since, self.sweeps = 0.0, 0, 0  # a second; reads since the last sweep; sweeps so far
         self.credit = 4.0 * cores / self.callers  # a caller's tasks at once: a core runs one, holds three
         self.read = self.turned_away = self.further = 0.0  # decaying counts; further tries among the read
-        self.asked = 0.0
+        self.asked = self.shut = 0.0
         self.open, self.said, self.counter = 1.0, -1.0, 0  # share of the traffic wanted; the value told last
 
     def pause(self, wanted: float) -> float:
@@ -223,8 +223,9 @@
         self.sweeps += 1
         self.visits += (20.0 * self.since - self.visits) / min(100, self.sweeps)  # looks back some five seconds
         self.since = 0
+        self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2)  # ten seconds: a jam that opens at once comes back
         keep = (5.0 * self.visits / self.callers) ** 2
-        keep = max(10.0, self.idle * min(1.0, max(keep, 2.0 * lag - 0.2)))
+        keep = max(10.0, self.idle * min(1.0, max(keep, self.shut)))
         if self.idle and not 0.8 < keep / self.kept < 1.25 or keep == self.idle > self.kept:
             self.kept = keep
             self.host.keep_idle(keep)
