--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -127,10 +127,11 @@
     def fits(self, more: float) -> bool:
         return self.used + more <= 0.85 * self.memory  # leaves room for what is read but not yet decided on
 
-    def over_caller(self, caller: int) -> bool:
-        # Below half the threshold room is lent; above, a caller has one and a half equal parts of it.
+    def over_caller(self, caller: int, size: int) -> bool:
+        # Below half the threshold room is lent; above, a caller has one and a half equal parts of it. One task
+        # is never over: with many callers a part is less than a task, and utility would no longer count.
         callers, lent = len(self.by_caller), self.unanswered < 0.5 * self.clears
-        return callers > 1 and not lent and self.by_caller[caller] > 1.5 * self.clears / callers
+        return callers > 1 and not lent and self.by_caller[caller] > max(size, 1.5 * self.clears / callers)
 
 
 class CallBound:
@@ -411,7 +412,7 @@
         if not counters.fits(entry + task.size * counters.extra) or not self._in_time(now, task, ahead):
             self._turn_away(task, False, self._pause())
             return False
-        over_caller = counters.over_caller(task.caller)
+        over_caller = counters.over_caller(task.caller, task.size)
         if not over_caller and counters.unanswered <= counters.clears:
             return True
         # Room goes to the higher utility; among equals the heaviest caller loses it first.
