--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -169,17 +169,16 @@
 class TenantShare:
     """Utility of a tenant's tasks, by how far its first tries run beyond its share of the fleet."""
 
+    MEMORY = 2000.0  # ms: a surge shows within a couple of seconds, chance clumps do not
+
     def __init__(self, quotas: list[float], servers: int, over_utility: float) -> None:
         self.quotas = [quota / max(1, servers) for quota in quotas]  # tasks a ms
         self.over_utility = over_utility
-        # ms: a surge shows within a couple of seconds, or within the time of five tasks of the share where that
-        # is longer: on a small server fewer are chance, and one task alone would look like a surge.
-        self.memory = [max(2000.0, 5.0 / max(quota, 1e-9)) for quota in self.quotas]
         self.rates, self.at = [0.0] * len(quotas), [0.0] * len(quotas)
 
     def count(self, now: float, tenant: int) -> None:
-        fade = math.exp((self.at[tenant] - now) / self.memory[tenant])
-        self.rates[tenant] = self.rates[tenant] * fade + 1.0 / self.memory[tenant]
+        fade = math.exp((self.at[tenant] - now) / self.MEMORY)
+        self.rates[tenant] = self.rates[tenant] * fade + 1.0 / self.MEMORY
         self.at[tenant] = now
 
     def factor(self, tenant: int) -> float:
