--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -255,6 +255,7 @@
         self.running, self.moved = 0, 0.0  # runs on the cores; when one last started or moved on
         self.stalled, self.swamped, self.fit = False, False, True
         self.stretch, self.lag = 1.0, 0.0  # recent run time over the base, wait to be read over the due time
+        self.first_wait, self.votes = 1.0, 0  # share of the time limit that first tries wait
         self.busy, self.reading = False, 0.0  # the cores, and what else than runs stands on them
         self.mean_run = self.mean_size = self.mean_work = 0.0  # recent, of finished tasks
         host.fitness(True)
@@ -263,10 +264,13 @@
     def arrived(self, now: float, q: int, stage: int, tenant: int, caller: int, limit_at: float | None,
                 work: float | None, size: int, again: bool, queued_for: float, original: int | None) -> None:
         kind, at = self.stages[stage], now - queued_for
-        limit = at + kind.limit if limit_at is None else limit_at
-        limit = min(limit, self.kill)
+        limit = min(at + kind.limit if limit_at is None else limit_at, self.kill)
         due = at + min(kind.due, 0.95 * self.patience.setdefault(caller, 1.0) * kind.limit)
-        due -= 0.5 * self.advice.asked if again else 0.0  # it stayed away about as long as this server asks for
+        if limit_at is not None:
+            age = self._age(kind.limit, limit_at - at)
+            again, due = again or age > 0.0, due - age
+        elif again:
+            due -= 0.5 * self.advice.asked  # it stayed away about as long as this server asks for, or walked on
         task = Task(q, kind, tenant, caller, at, min(due, limit), limit, work or 1.0, size, again)
         self.tasks[q] = task
         self.counters.add(caller, size)
@@ -293,6 +297,18 @@
                 self.host.remember(q, keep_for)
             self._fill(now)
 
+    def _age(self, limit: float, wait: float) -> float:
+        """Time since a further try's first one: a first try waits a fixed share of the time limit, which most
+        that come tell, the last one for all that is left of the limit."""
+        share = wait / limit
+        self.votes += 1 if abs(share - self.first_wait) < 0.01 else -1
+        if self.votes < 0:
+            self.first_wait, self.votes = share, 0
+        self.votes = min(self.votes, 20)  # as many odd ones in a row unseat it: callers that changed
+        if abs(share - self.first_wait) < 0.01:
+            return 0.0
+        return max(1.0, limit - wait if share > self.first_wait else self.first_wait * limit - wait)
+
     def leaving(self, now: float, kill: float) -> None:
         """Notice to leave: later newcomers are turned away, what was read is answered before the kill."""
         self.notice, self.kill = now, kill - 20.0  # ms: several rounds of events to spare before the kill
