--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -267,8 +267,8 @@
         limit = min(at + kind.limit if limit_at is None else limit_at, self.kill)
         due = at + min(kind.due, 0.95 * self.patience.setdefault(caller, 1.0) * kind.limit)
         if limit_at is not None:
-            age = self._age(kind.limit, limit_at - at)
-            again, due = again or age > 0.0, due - age
+            due -= self._age(kind.limit, limit_at - at)
+            again = again or limit_at - at > (self.first_wait + 0.01) * kind.limit  # not one that only walked
         elif again:
             due -= 0.5 * self.advice.asked  # it stayed away about as long as this server asks for, or walked on
         task = Task(q, kind, tenant, caller, at, min(due, limit), limit, work or 1.0, size, again)
@@ -305,9 +305,7 @@
         if self.votes < 0:
             self.first_wait, self.votes = share, 0
         self.votes = min(self.votes, 20)  # as many odd ones in a row unseat it: callers that changed
-        if abs(share - self.first_wait) < 0.01:
-            return 0.0
-        return max(1.0, limit - wait if share > self.first_wait else self.first_wait * limit - wait)
+        return max(0.0, limit - wait if share > self.first_wait + 0.01 else self.first_wait * limit - wait)
 
     def leaving(self, now: float, kill: float) -> None:
         """Notice to leave: later newcomers are turned away, what was read is answered before the kill."""
