--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -1,12 +1,10 @@
 """All of vetchford's decisions, for one server's life.
 
-How it is invoked: a protocol adapter (vetchford/benchlink is one) builds the parts below from its start-up
-settings, hands them to one `Node`, and calls one method of it for each thing that happens, with the time in
-milliseconds since the start. The node acts by calling the `Host` it was handed (vetchford/host.py).
-
-The design (docs/design.md): byte counters for the node and for each caller with prompt rejections, and a
-latency-gradient limit on running tasks. Beside it stand six mechanisms, and no more:
-  1. answer clock: one final answer for each task by its time limit; drain, kill, callers that are gone
+An adapter (vetchford/benchlink is one) builds the parts below from its start-up settings, hands them to one
+`Node` and calls a method of it for each thing that happens, with the time in milliseconds since the start. The
+node acts through the `Host` it was handed (vetchford/host.py). The design (docs/design.md): byte counters for
+the node and each caller with prompt rejections, and a latency-gradient limit on running tasks. Beside it:
+  1. answer clock: one final answer by the time limit; drain, kill, callers that are gone; a further try's age
   2. repeat table: fingerprints kept for their window, repeats answered by sharing, never by a second run
   3. call bound: calls below stay under this server's slice; waiting ones skip the call where that is worth it
   4. due-time gate: what can't finish in time by the measured speed is answered at once, not held
@@ -26,8 +24,7 @@
 
 
 class LongMean:
-    """The design's long window: a minute, by time and not by count, so that the many slow runs of one spell
-    do not pass for the normal; only the first `few` weigh by count."""
+    """The long window: a minute by time, lest one slow spell pass for the normal; the first `few` by count."""
 
     def __init__(self, few: int) -> None:
         self.few, self.value, self.seen, self.at = few, 0.0, 0, 0.0
@@ -94,7 +91,7 @@
             # Averaged by time: by count the shortest runs rule it where no work is told, and it never cuts.
             ratio = min(1.0, self.base / max(self.measured, 1e-9)) if may_cut else 1.0
             target = self.limit * ratio + math.sqrt(self.limit)
-            if target < self.limit or self.in_use and may_grow:  # no growth into room that nobody used
+            if target < self.limit or self.in_use and may_grow:  # no growth into room that nobody used;
                 self.limit += 0.5 * (target - self.limit)  # one odd period moves it by half only
             self.base, self.measured, self.seen, self.in_use = 0.0, 0.0, 0, False
             self.next = now + 500.0  # ms: some runs on every core, and many decisions in ten seconds
@@ -128,10 +125,10 @@
         return self.used + more <= 0.85 * self.memory  # leaves room for what is read but not yet decided on
 
     def over_caller(self, caller: int, size: int) -> bool:
-        # Below half the threshold room is lent; above, a caller has one and a half equal parts of it. One task
-        # is never over: with many callers a part is less than a task, and utility would no longer count.
-        callers, lent = len(self.by_caller), self.unanswered < 0.5 * self.clears
-        return callers > 1 and not lent and self.by_caller[caller] > max(size, 1.5 * self.clears / callers)
+        # Below half the threshold room is lent; above, a caller has one and a half equal parts of it, but one
+        # task at least: with many callers a part is less, and utility would no longer count.
+        part = max(size, 1.5 * self.clears / len(self.by_caller))
+        return len(self.by_caller) > 1 and self.unanswered >= 0.5 * self.clears and self.by_caller[caller] > part
 
 
 class CallBound:
@@ -147,8 +144,7 @@
     def free(self, now: float) -> bool:
         while self.lingering and self.lingering[0] <= now:
             heapq.heappop(self.lingering)
-        count = self.in_hand + len(self.lingering)
-        return now >= self.rest_until and count + 1 <= self.bound()
+        return now >= self.rest_until and self.in_hand + len(self.lingering) + 1 <= self.bound()
 
     def bound(self) -> float:
         return max(1.0, min(self.share, self.gradient.limit))
@@ -189,21 +185,20 @@
 class Advice:
     """What callers are told: how long to stay away, and the free value where there is one."""
 
-    def __init__(self, host: Host, seed: int, say: str, longest: float, callers: int, cores: int,
-                 idle: float) -> None:
+    def __init__(self, host: Host, seed: int, say: str, longest: float, callers: int, cores: int, idle: float
+                 ) -> None:
         self.host, self.seed, self.say, self.longest = host, seed, say, longest
         self.callers, self.idle, self.kept = max(1, callers), idle, idle
-        self.visits, self.since, self.sweeps = 0.0, 0, 0  # a second; reads since the last sweep; sweeps so far
         self.credit = 4.0 * cores / self.callers  # a caller's tasks at once: a core runs one, holds three
-        self.read = self.turned_away = self.further = 0.0  # decaying counts; further tries among the read
-        self.asked = self.shut = 0.0
-        self.open, self.said, self.counter = 1.0, -1.0, 0  # share of the traffic wanted; the value told last
+        self.read = self.further = self.turned_away = 0.0  # decaying counts; further tries among those read
+        self.visits, self.sweeps, self.shut = 0.0, 0, 0.0  # read a second; how far the table is left to fill
+        self.open, self.said = 1.0, -1.0  # share of the traffic wanted; the value told last
+        self.asked, self.counter = 0.0, 0  # recent pause; draws of chance
 
     def pause(self, wanted: float) -> float:
         """Spread over half its length, so that callers do not come back in step."""
         self.counter += 1
-        chance = zlib.crc32(b"%d:%d" % (self.seed, self.counter)) / 2**32
-        told = min(self.longest, wanted) * (0.5 + 0.5 * chance)
+        told = min(self.longest, wanted) * (0.5 + 0.5 * zlib.crc32(b"%d:%d" % (self.seed, self.counter)) / 2**32)
         self.asked += 0.05 * (told - self.asked)
         return told
 
@@ -212,21 +207,20 @@
         # A rejected share of 0.15 is left alone: it keeps the hold fed. Callers hear late: seconds a swing.
         move = 1.0 - 0.015 * min(1.0, share) if share > 0.15 else 1.0075
         self.open = min(1.0, max(0.02, self.open * move))
-        self.read, self.turned_away = self.read * 0.95, self.turned_away * 0.95  # a second
-        self.further *= 0.95
+        self.sweeps += 1
+        self.visits += (self.read - self.visits) / min(100, self.sweeps)  # looks back some five seconds
+        self.read, self.further, self.turned_away = (
+            count * 0.95 for count in (self.read, self.further, self.turned_away))  # a second
         odds = self.open * min(1.0, speed)
         value = {"level": 1.0 - self.open, "credit": self.credit * self.open}.get(self.say, odds)
         if self.say != "silent" and abs(value - self.said) > 0.02:
             self.said = value
             self.host.stamp(value)
-        # A new connection costs about what five seconds of an open one do. Callers that come less often than
-        # that would fill the table with connections that nobody uses again, and shut out the next ones.
-        self.sweeps += 1
-        self.visits += (20.0 * self.since - self.visits) / min(100, self.sweeps)  # looks back some five seconds
-        self.since = 0
-        self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2)  # ten seconds: a jam that opens at once comes back
-        keep = (5.0 * self.visits / self.callers) ** 2
-        keep = max(10.0, self.idle * min(1.0, max(keep, self.shut)))
+        # A new connection costs about what five seconds of an open one do. Callers that come less often would
+        # fill the table with connections that nobody uses again. In a jam of reading a full table turns the
+        # next ones away unread; it opens again over ten seconds, since a jam that opens at once comes back.
+        self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2)
+        keep = max(10.0, self.idle * min(1.0, max(self.shut, (5.0 * self.visits / self.callers) ** 2)))
         if self.idle and not 0.8 < keep / self.kept < 1.25 or keep == self.idle > self.kept:
             self.kept = keep
             self.host.keep_idle(keep)
@@ -250,7 +244,7 @@
         self.held: dict[int, Task] = {}  # emptied by start, answer, departure
         self.waiting: dict[int, Task] = {}  # parked with no call out; emptied as calls go out or answers do
         self.patience: dict[int, float] = {}  # share of a time limit that a caller waits; one for each caller
-        self.entries: list[tuple[float, int]] = []  # heap; emptied as entries run out
+        self.entries: list[tuple[float, int]] = []  # heap, emptied as entries run out
         self.notice = self.kill = math.inf
         self.running, self.moved = 0, 0.0  # runs on the cores; when one last started or moved on
         self.stalled, self.swamped, self.fit = False, False, True
@@ -275,7 +269,6 @@
         self.tasks[q] = task
         self.counters.add(caller, size)
         self.advice.read += 1.0
-        self.advice.since += 1
         self.advice.further += again
         if not again:
             kind.asked += kind.utility * (task.work if self.by_work else 1.0)
@@ -298,13 +291,11 @@
             self._fill(now)
 
     def _age(self, limit: float, wait: float) -> float:
-        """Time since a further try's first one: a first try waits a fixed share of the time limit, which most
-        that come tell, the last one for all that is left of the limit."""
+        """A further try's age: most tasks tell a first try's wait, a last one's is all that the limit leaves."""
         share = wait / limit
-        self.votes += 1 if abs(share - self.first_wait) < 0.01 else -1
-        if self.votes < 0:
+        self.votes = min(20, self.votes + (1 if abs(share - self.first_wait) < 0.01 else -1))
+        if self.votes < 0:  # twenty odd ones in a row unseat it: callers that changed
             self.first_wait, self.votes = share, 0
-        self.votes = min(self.votes, 20)  # as many odd ones in a row unseat it: callers that changed
         return max(0.0, limit - wait if share > self.first_wait + 0.01 else self.first_wait * limit - wait)
 
     def leaving(self, now: float, kill: float) -> None:
@@ -379,14 +370,13 @@
         self._expire(now)
         self.stretch += 0.0 if self.running else self.RECENT * (1.0 - self.stretch)  # idle cores unlearn
         # The goal counts the worst-served stage on its own, so its utility weighs more: by that part of the
-        # goal and by how small a part of all it asks for, up to four times. No stage is starved.
+        # goal and by how small a part of all it asks for, up to four times.
         worst = min(self.stages, key=lambda stage: stage.got / stage.asked)
         bonus = min(4.0, 1.0 + self.worst_weight * sum(stage.asked for stage in self.stages) / worst.asked)
         for stage in self.stages:
             stage.weight = stage.utility * (bonus if stage is worst else 1.0)
             stage.asked, stage.got = stage.asked * 0.999, stage.got * 0.999  # look back about a minute
-        warmth = min(1.0, now / self.ramp) if self.ramp else 1.0
-        ceiling = self.crowd_cold + (self.crowd_warm - self.crowd_cold) * warmth
+        ceiling = self.crowd_cold + (self.crowd_warm - self.crowd_cold) * min(1.0, now / max(1.0, self.ramp))
         self.limit.step(now, ceiling, self.busy, not self.busy)  # more runs on busy cores only slow all
         still = now - self.moved > max(1500.0, 4.0 * self.mean_run)  # with all slots in use: far over chance
         self.stalled |= still and self.running >= min(self.limit.limit, self.cores)
@@ -402,8 +392,8 @@
                 self._skip(now, task) if task.stage.skip_utility > 0.0 else self._give_up(task)
         self._call_next(now)
         # Told work is time on a standard core, whose server asks for half: odds choose between servers.
-        told = self.mean_work > 1.0
-        self.advice.tell(self.lag, 0.5 * self.mean_work / self.mean_run if told else 1.0 / self.stretch)
+        speed = 0.5 * self.mean_work / self.mean_run if self.mean_work > 1.0 else 1.0 / self.stretch
+        self.advice.tell(self.lag, speed)
         self._fill(now)
 
     def _density(self, task: Task) -> float:
@@ -437,8 +427,8 @@
         return lowest is not task
 
     def _slots(self) -> float:
-        # Reading crowds the cores as runs do. Where it is dear, runs that ignore it starve it, and all that
-        # is read comes too late. A third of the cores go on with runs however much there is to read.
+        # Reading crowds the cores as runs do, and runs that ignore it starve it: all that is read comes too
+        # late. A third of the cores, one run at least, goes on however much there is to read.
         return max(1.0, self.cores / 3.0, self.limit.limit - self.reading)
 
     def _fill(self, now: float) -> None:
@@ -473,18 +463,20 @@
         base = max(1.0, task.work * stage.pace.value)
         self.limit.observe(base, took)
         self.stretch += self.RECENT * (min(8.0, took / base) - self.stretch)
-        self.mean_run += (took - self.mean_run) * (self.RECENT if self.mean_run else 1.0)
-        self.mean_size += (task.size - self.mean_size) * (self.RECENT if self.mean_size else 1.0)
-        self.mean_work += (task.work - self.mean_work) * (self.RECENT if self.mean_work else 1.0)
+        part = self.RECENT if self.mean_run else 1.0
+        self.mean_run += part * (took - self.mean_run)
+        self.mean_size += part * (task.size - self.mean_size)
+        self.mean_work += part * (task.work - self.mean_work)
         due = max(kind.due for kind in self.stages)
         self.counters.clears = self.limit.limit * self.mean_size * (1.0 + due / max(1.0, self.mean_run))
 
     def _give_up(self, task: Task) -> None:
         """The final answer for what won't be finished; a task that never ran is turned away instead."""
         if task.state == HELD:
-            return self._turn_away(task, True, self._pause())
-        self.host.abandon(task.q)
-        return self._drop(task)
+            self._turn_away(task, True, self._pause())
+        else:
+            self.host.abandon(task.q)
+            self._drop(task)
 
     def _drop(self, task: Task) -> None:
         self._settle(task)
@@ -496,10 +488,10 @@
     def _turn_away(self, task: Task, terminal: bool, pause: float) -> None:
         self.advice.turned_away += 1.0
         self._settle(task)
-        # A further try that is rejected again has found two servers full: more only spread the overload. So it
-        # is for all where a quarter of what comes was turned away elsewhere.
-        spread = self.advice.further > 0.25 * self.advice.read
-        self.host.reject(task.q, terminal or task.again or spread, pause)
+        # A further try that is rejected again has found two servers full: more only spread the overload, and
+        # so would all others where a quarter of what comes was turned away elsewhere.
+        terminal |= task.again or self.advice.further > 0.25 * self.advice.read
+        self.host.reject(task.q, terminal, pause)
         self._leave(task)
 
     def _settle(self, task: Task) -> None:
