One learnt wait of first tries, in place of a patience for each caller

Cause: with a thousand callers no server hears five departures of one; and the table grew with the callers.

--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -243,13 +243,12 @@
         self.tasks: dict[int, Task] = {}  # emptied as answers leave, cores are left and entries run out
         self.held: dict[int, Task] = {}  # emptied by start, answer, departure
         self.waiting: dict[int, Task] = {}  # parked with no call out; emptied as calls go out or answers do
-        self.patience: dict[int, float] = {}  # share of a time limit that a caller waits; one for each caller
         self.entries: list[tuple[float, int]] = []  # heap, emptied as entries run out
         self.notice = self.kill = math.inf
         self.running, self.moved = 0, 0.0  # runs on the cores; when one last started or moved on
         self.stalled, self.swamped, self.fit = False, False, True
         self.stretch, self.lag = 1.0, 0.0  # recent run time over the base, wait to be read over the due time
-        self.first_wait, self.votes = 1.0, 0  # share of the time limit that first tries wait
+        self.first_wait, self.votes = 1.0, 0  # share of a time limit that first tries wait
         self.busy, self.reading = False, 0.0  # the cores, and what else than runs stands on them
         self.mean_run = self.mean_size = self.mean_work = 0.0  # recent, of finished tasks
         host.fitness(True)
@@ -259,7 +258,7 @@
                 work: float | None, size: int, again: bool, queued_for: float, original: int | None) -> None:
         kind, at = self.stages[stage], now - queued_for
         limit = min(at + kind.limit if limit_at is None else limit_at, self.kill)
-        due = at + min(kind.due, 0.95 * self.patience.setdefault(caller, 1.0) * kind.limit)
+        due = at + min(kind.due, 0.95 * self.first_wait * kind.limit)
         if limit_at is not None:
             due -= self._age(kind.limit, limit_at - at)
             again = again or limit_at - at > (self.first_wait + 0.01) * kind.limit  # not one that only walked
@@ -290,13 +289,15 @@
                 self.host.remember(q, keep_for)
             self._fill(now)
 
-    def _age(self, limit: float, wait: float) -> float:
-        """A further try's age: most tasks tell a first try's wait, a last one's is all that the limit leaves."""
-        share = wait / limit
+    def _learn_wait(self, share: float) -> None:
         self.votes = min(20, self.votes + (1 if abs(share - self.first_wait) < 0.01 else -1))
         if self.votes < 0:  # twenty odd ones in a row unseat it: callers that changed
             self.first_wait, self.votes = share, 0
-        return max(0.0, limit - wait if share > self.first_wait + 0.01 else self.first_wait * limit - wait)
+
+    def _age(self, limit: float, wait: float) -> float:
+        """A further try's age: a last one may wait for all that is left of the limit, others as first tries do."""
+        self._learn_wait(wait / limit)
+        return max(0.0, limit - wait if wait > (self.first_wait + 0.01) * limit else self.first_wait * limit - wait)
 
     def leaving(self, now: float, kill: float) -> None:
         """Notice to leave: later newcomers are turned away, what was read is answered before the kill."""
@@ -309,9 +310,8 @@
         """Nobody waits for this answer any more: nothing is owed for it."""
         task = self.tasks[q]
         if not task.answered:
-            age = min(1.0, (now - task.arrived) / task.stage.limit)
             if not task.again:  # a further try's client may leave for reasons of the first
-                self.patience[task.caller] += 0.2 * (age - self.patience[task.caller])  # five make a habit
+                self._learn_wait(min(1.0, (now - task.arrived) / task.stage.limit))
             self._drop(task)
             self._fill(now)
 
