--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -43,7 +43,7 @@
         survives=8.0, cold_from=0.24, ramp=18000.0 if cold else 0.0,
         counters=rules.ByteCounters(memory, 8.0, 50.0),
         calls=rules.CallBound(share, 5000.0, 200.0, cores) if calls else None,
-        tenants=rules.TenantShare(list(quotas), 1, 0.05) if quotas else None,
+        tenants=rules.TenantShare(list(quotas), 1, 0.05),
         advice=rules.Advice(host, 7, say, 1000.0, callers, cores, 30_000.0),
         by_work=False, can_stop=can_stop, grace=2000.0, worst_weight=0.3,
     )
--- a/vetchford/benchlink/link.py
+++ b/vetchford/benchlink/link.py
@@ -237,13 +237,11 @@
             linger=(info.get("linger") or 0) / NS_PER_MS,
             cores=cores,
         )
-    tenants = None
-    if customers:
-        tenants = rules.TenantShare(
-            quotas=[(entry.get("quotaPerS") or 0.0) / 1000.0 for entry in customers],
-            servers=told.get("servers") or 1,
-            over_utility=told.get("overShareWorth") or 0.0,
-        )
+    tenants = rules.TenantShare(
+        quotas=[(entry.get("quotaPerS") or 0.0) / 1000.0 for entry in customers],
+        servers=told.get("servers") or 1,
+        over_utility=told.get("overShareWorth") or 0.0,
+    )
     pauses = (caps.get("maxRetryAfter") or 0) / NS_PER_MS if caps.get("retryAfter") else 0.0
     return rules.Node(
         host=instance,
--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -1,9 +1,8 @@
 """All of vetchford's decisions, for one server's life.
 
-An adapter (vetchford/benchlink is one) builds the parts below from its start-up settings, hands them to one
-`Node` and calls a method of it for each thing that happens, with the time in milliseconds since the start. The
-node acts through the `Host` it was handed (vetchford/host.py). The design (docs/design.md): byte counters for
-the node and each caller with prompt rejections, and a latency-gradient limit on running tasks. Beside it:
+An adapter (vetchford/benchlink is one) builds the parts below, hands them to a `Node` and calls a method of
+it for each thing that happens, in ms since the start; it acts through its `Host` (vetchford/host.py). Beside the
+design (docs/design.md: byte counters with prompt rejections, a latency-gradient limit) stand six mechanisms:
   1. answer clock: one final answer by the time limit; drain, kill, callers that are gone; a further try's age
   2. repeat table: fingerprints kept for their window, repeats answered by sharing, never by a second run
   3. call bound: calls below stay under this server's slice; waiting ones skip the call where that is worth it
@@ -24,7 +23,7 @@
 
 
 class LongMean:
-    """The long window: a minute by time, lest one slow spell pass for the normal; the first `few` by count."""
+    """The long window: a minute by time, lest a slow spell pass for the normal; the first `few` by count."""
 
     def __init__(self, few: int) -> None:
         self.few, self.value, self.seen, self.at = few, 0.0, 0, 0.0
@@ -32,8 +31,7 @@
     def add(self, now: float, new: float) -> None:
         self.seen += 1
         weight = 1.0 / self.seen if self.seen <= self.few else min(1.0, (now - self.at) / 60_000.0)
-        self.value += (new - self.value) * weight
-        self.at = now
+        self.value, self.at = self.value + weight * (new - self.value), now
 
 
 @dataclass(slots=True)
@@ -69,19 +67,16 @@
     ran: bool = False
     answered: bool = False
     crowd: float = 0.0  # runs and reads on the cores when this one started
-    parked_at: float = 0.0
-    away: float = 0.0  # waited on calls so far
+    away: float = 0.0  # waited on calls so far, less the time when it parked
     entry_until: float = 0.0  # when its fingerprint's entry runs out; 0: none
 
 
 class GradientLimit:
     """The design's latency gradient: for running tasks and, with its own bounds, for calls below."""
 
-
     def __init__(self, floor: float, start: float) -> None:
         self.floor, self.limit = floor, start
-        self.base, self.measured, self.seen, self.in_use = 0.0, 0.0, 0, False  # over the period's runs
-        self.next = 0.0
+        self.base, self.measured, self.seen, self.in_use, self.next = 0.0, 0.0, 0, False, 0.0  # of the period
 
     def observe(self, base: float, measured: float) -> None:
         self.base, self.measured, self.seen = self.base + base, self.measured + measured, self.seen + 1
@@ -101,18 +96,15 @@
 class ByteCounters:
     """The design's two counters: bytes read but not answered, for the node and for each caller."""
 
-
     def __init__(self, memory: float, multiple: float, entry: float) -> None:
         self.memory, self.entry = memory, entry
         self.extra = multiple - 1.0  # bytes that a held byte takes on top once it runs
-        self.used = 0.0  # held, running at the multiple, and kept entries
-        self.unanswered = 0
+        self.used, self.unanswered = 0.0, 0  # used: held, running at the multiple, and kept entries
         self.by_caller: dict[int, int] = {}  # a caller leaves when its last task is answered
         self.clears = math.inf  # bytes that the measured answer rate clears within a due time
 
     def add(self, caller: int, size: int) -> None:
-        self.used += size
-        self.unanswered += size
+        self.used, self.unanswered = self.used + size, self.unanswered + size
         self.by_caller[caller] = self.by_caller.get(caller, 0) + size
 
     def answered(self, caller: int, size: int) -> None:
@@ -127,8 +119,8 @@
     def over_caller(self, caller: int, size: int) -> bool:
         # Below half the threshold room is lent; above, a caller has one and a half equal parts of it, but one
         # task at least: with many callers a part is less, and utility would no longer count.
-        part = max(size, 1.5 * self.clears / len(self.by_caller))
-        return len(self.by_caller) > 1 and self.unanswered >= 0.5 * self.clears and self.by_caller[caller] > part
+        callers, lent = len(self.by_caller), self.unanswered < 0.5 * self.clears
+        return callers > 1 and not lent and self.by_caller[caller] > max(size, 1.5 * self.clears / callers)
 
 
 class CallBound:
@@ -142,8 +134,7 @@
         self.lingering: list[float] = []  # ends of abandoned calls; emptied as they pass
 
     def free(self, now: float) -> bool:
-        while self.lingering and self.lingering[0] <= now:
-            heapq.heappop(self.lingering)
+        self.lingering = [end for end in self.lingering if end > now]
         return now >= self.rest_until and self.in_hand + len(self.lingering) + 1 <= self.bound()
 
     def bound(self) -> float:
@@ -154,7 +145,7 @@
         if self.share < 1.0:  # one at a time, with rests that keep the mean under half the slice
             self.rest_until = now + (self.over if took is None else 2.0 * took / self.share)
         if took is None:  # abandoned: it may linger below
-            heapq.heappush(self.lingering, now + self.linger)
+            self.lingering.append(now + self.linger)
             return
         self.base.add(now, took)
         self.gradient.observe(self.base.value, took)
@@ -168,17 +159,16 @@
     MEMORY = 2000.0  # ms: a surge shows within a couple of seconds, chance clumps do not
 
     def __init__(self, quotas: list[float], servers: int, over_utility: float) -> None:
-        self.quotas = [quota / max(1, servers) for quota in quotas]  # tasks a ms
+        self.quotas = [quota / max(1, servers) for quota in quotas] + [math.inf]  # a ms; index -1: no tenant
         self.over_utility = over_utility
-        self.rates, self.at = [0.0] * len(quotas), [0.0] * len(quotas)
+        self.rates, self.at = [0.0] * len(self.quotas), [0.0] * len(self.quotas)
 
     def count(self, now: float, tenant: int) -> None:
         fade = math.exp((self.at[tenant] - now) / self.MEMORY)
-        self.rates[tenant] = self.rates[tenant] * fade + 1.0 / self.MEMORY
-        self.at[tenant] = now
+        self.rates[tenant], self.at[tenant] = self.rates[tenant] * fade + 1.0 / self.MEMORY, now
 
     def factor(self, tenant: int) -> float:
-        within = min(1.0, self.quotas[tenant] / max(1e-9, self.rates[tenant])) if tenant >= 0 else 1.0
+        within = min(1.0, self.quotas[tenant] / max(1e-9, self.rates[tenant]))
         return within + (1.0 - within) * self.over_utility
 
 
@@ -192,13 +182,13 @@
         self.credit = 4.0 * cores / self.callers  # a caller's tasks at once: a core runs one, holds three
         self.read = self.further = self.turned_away = 0.0  # decaying counts; further tries among those read
         self.visits, self.sweeps, self.shut = 0.0, 0, 0.0  # read a second; how far the table is left to fill
-        self.open, self.said = 1.0, -1.0  # share of the traffic wanted; the value told last
-        self.asked, self.counter = 0.0, 0  # recent pause; draws of chance
+        self.open, self.said, self.asked, self.counter = 1.0, -1.0, 0.0, 0  # traffic wanted; told; draws
 
     def pause(self, wanted: float) -> float:
         """Spread over half its length, so that callers do not come back in step."""
         self.counter += 1
-        told = min(self.longest, wanted) * (0.5 + 0.5 * zlib.crc32(b"%d:%d" % (self.seed, self.counter)) / 2**32)
+        chance = zlib.crc32(b"%d:%d" % (self.seed, self.counter)) / 2**32
+        told = min(self.longest, wanted) * (0.5 + 0.5 * chance)
         self.asked += 0.05 * (told - self.asked)
         return told
 
@@ -211,8 +201,8 @@
         self.visits += (self.read - self.visits) / min(100, self.sweeps)  # looks back some five seconds
         self.read, self.further, self.turned_away = (
             count * 0.95 for count in (self.read, self.further, self.turned_away))  # a second
-        odds = self.open * min(1.0, speed)
-        value = {"level": 1.0 - self.open, "credit": self.credit * self.open}.get(self.say, odds)
+        value = {"level": 1.0 - self.open, "credit": self.credit * self.open}.get(
+            self.say, self.open * min(1.0, speed))
         if self.say != "silent" and abs(value - self.said) > 0.02:
             self.said = value
             self.host.stamp(value)
@@ -221,7 +211,7 @@
         # next ones away unread; it opens again over ten seconds, since a jam that opens at once comes back.
         self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2)
         keep = max(10.0, self.idle * min(1.0, max(self.shut, (5.0 * self.visits / self.callers) ** 2)))
-        if self.idle and not 0.8 < keep / self.kept < 1.25 or keep == self.idle > self.kept:
+        if self.idle and not 0.8 < keep / self.kept < 1.25:
             self.kept = keep
             self.host.keep_idle(keep)
 
@@ -231,9 +221,9 @@
     RECENT = 0.05  # weight of a run in the recent means: about the last twenty
 
     def __init__(self, host: Host, stages: list[Stage], cores: int, survives: float, cold_from: float,
-                 ramp: float, counters: ByteCounters, calls: CallBound | None, tenants: TenantShare | None,
+                 ramp: float, counters: ByteCounters, calls: CallBound | None, tenants: TenantShare,
                  advice: Advice, by_work: bool, can_stop: bool, grace: float, worst_weight: float) -> None:
-        self.host, self.stages, self.cores = host, stages, cores
+        self.host, self.stages, self.cores, self.due = host, stages, cores, max(kind.due for kind in stages)
         # At most half the crowd survived, warm or cold, is started: resumed calls and reading come on top.
         self.crowd_warm, self.ramp = max(1.0, 0.5 * cores * survives), ramp
         self.crowd_cold = max(1.0, 0.5 * cores * (1.0 + (survives - 1.0) * cold_from))
@@ -244,13 +234,12 @@
         self.held: dict[int, Task] = {}  # emptied by start, answer, departure
         self.waiting: dict[int, Task] = {}  # parked with no call out; emptied as calls go out or answers do
         self.entries: list[tuple[float, int]] = []  # heap, emptied as entries run out
-        self.notice = self.kill = math.inf
         self.running, self.moved = 0, 0.0  # runs on the cores; when one last started or moved on
-        self.stalled, self.swamped, self.fit = False, False, True
+        self.stalled, self.fit, self.notice, self.kill = False, True, math.inf, math.inf
         self.stretch, self.lag = 1.0, 0.0  # recent run time over the base, wait to be read over the due time
         self.first_wait, self.votes = 1.0, 0  # share of a time limit that first tries wait
         self.busy, self.reading = False, 0.0  # the cores, and what else than runs stands on them
-        self.mean_run = self.mean_size = self.mean_work = 0.0  # recent, of finished tasks
+        self.mean_run = self.mean_size = 0.0  # recent, of finished tasks
         host.fitness(True)
         host.wake(self.SWEEP)
 
@@ -260,20 +249,21 @@
         limit = min(at + kind.limit if limit_at is None else limit_at, self.kill)
         due = at + min(kind.due, 0.95 * self.first_wait * kind.limit)
         if limit_at is not None:
-            due -= self._age(kind.limit, limit_at - at)
-            again = again or limit_at - at > (self.first_wait + 0.01) * kind.limit  # not one that only walked
+            wait = limit_at - at  # a last try's may be all that its limit leaves, others' is as for first tries
+            self._learn_wait(wait / kind.limit)
+            last = wait > (self.first_wait + 0.01) * kind.limit
+            due -= max(0.0, (kind.limit if last else self.first_wait * kind.limit) - wait)  # its age
+            again |= last  # but not one that only walked on
         elif again:
-            due -= 0.5 * self.advice.asked  # it stayed away about as long as this server asks for, or walked on
-        task = Task(q, kind, tenant, caller, at, min(due, limit), limit, work or 1.0, size, again)
-        self.tasks[q] = task
+            due -= 0.5 * self.advice.asked  # it stayed away as long as this server asks, or walked on
+        work, due = work or 1.0, min(due, limit)
+        task = self.tasks[q] = Task(q, kind, tenant, caller, at, due, limit, work, size, again)
         self.counters.add(caller, size)
-        self.advice.read += 1.0
-        self.advice.further += again
+        self.advice.read, self.advice.further = self.advice.read + 1.0, self.advice.further + again
         if not again:
-            kind.asked += kind.utility * (task.work if self.by_work else 1.0)
-        self.lag += self.RECENT * (queued_for / max(1.0, kind.due) - self.lag)
-        if self.tenants and tenant >= 0 and not again:
+            kind.asked += kind.utility * (work if self.by_work else 1.0)
             self.tenants.count(now, tenant)
+        self.lag += self.RECENT * (queued_for / max(1.0, kind.due) - self.lag)
         late = at > self.notice + self.grace or self.stalled or limit <= now + self.SWEEP
         if original is not None and self._repeat(task, original, late):
             return
@@ -294,11 +284,6 @@
         if self.votes < 0:  # twenty odd ones in a row unseat it: callers that changed
             self.first_wait, self.votes = share, 0
 
-    def _age(self, limit: float, wait: float) -> float:
-        """A further try's age: a last one may wait for all that is left of the limit, others as first tries do."""
-        self._learn_wait(wait / limit)
-        return max(0.0, limit - wait if wait > (self.first_wait + 0.01) * limit else self.first_wait * limit - wait)
-
     def leaving(self, now: float, kill: float) -> None:
         """Notice to leave: later newcomers are turned away, what was read is answered before the kill."""
         self.notice, self.kill = now, kill - 20.0  # ms: several rounds of events to spare before the kill
@@ -337,7 +322,7 @@
         task = self.tasks[q]
         self.running -= 1
         self._moved(now)
-        task.state, task.parked_at = PARKED, now
+        task.state, task.away = PARKED, task.away - now
         if not task.answered:  # else it ends by itself
             self.waiting[q] = task
             self._call_next(now)
@@ -365,12 +350,17 @@
         """The sweep, with the gauges: share of busy cores, and all that wants a core just now."""
         self.host.wake(self.SWEEP)
         self.busy = busy is None or busy > 0.8  # the design's mark
-        reading = max(0.0, (on_cores or 0.0) - self.running)
-        self.reading += 0.3 * (min(reading, self.cores) - self.reading)  # looks back three or four sweeps
-        self._expire(now)
+        reading = min(max(0.0, (on_cores or 0.0) - self.running), self.cores)
+        self.reading += 0.3 * (reading - self.reading)  # looks back three or four sweeps
+        while self.entries and self.entries[0][0] <= now:
+            until, q = heapq.heappop(self.entries)
+            task = self.tasks.get(q)
+            if task is not None and task.entry_until == until:
+                task.entry_until = 0.0
+                self.counters.used -= self.counters.entry
+                self._release(task)
         self.stretch += 0.0 if self.running else self.RECENT * (1.0 - self.stretch)  # idle cores unlearn
-        # The goal counts the worst-served stage on its own, so its utility weighs more: by that part of the
-        # goal and by how small a part of all it asks for, up to four times.
+        # The goal counts the worst-served stage on its own: it weighs more by that and by how little it asks.
         worst = min(self.stages, key=lambda stage: stage.got / stage.asked)
         bonus = min(4.0, 1.0 + self.worst_weight * sum(stage.asked for stage in self.stages) / worst.asked)
         for stage in self.stages:
@@ -387,20 +377,17 @@
             if task.limit <= now + self.SWEEP:
                 self._give_up(task)
             elif task.state == HELD and (self.stalled or not self._in_time(now, task, 0.0)):
-                self._turn_away(task, not self.stalled, self._pause())
+                self._turn_away(task, not self.stalled)
             elif task.q in self.waiting and finish > (task.limit if task.stage.late_utility else task.due):
                 self._skip(now, task) if task.stage.skip_utility > 0.0 else self._give_up(task)
         self._call_next(now)
-        # Told work is time on a standard core, whose server asks for half: odds choose between servers.
-        speed = 0.5 * self.mean_work / self.mean_run if self.mean_work > 1.0 else 1.0 / self.stretch
-        self.advice.tell(self.lag, speed)
+        self.advice.tell(self.lag, 1.0 / self.stretch)
         self._fill(now)
 
     def _density(self, task: Task) -> float:
         """Utility over expected work, which orders the hold."""
-        utility = task.stage.weight * (0.7 if task.again else 1.0)  # a further try is nearer its due time
-        if self.tenants:
-            utility *= self.tenants.factor(task.tenant)
+        utility = task.stage.weight * self.tenants.factor(task.tenant)
+        utility *= 0.7 if task.again else 1.0  # a further try is nearer its due time
         return utility if self.by_work else utility / max(1.0, task.work * task.stage.pace.value)
 
     def _service(self, task: Task) -> float:
@@ -414,7 +401,7 @@
             ahead = sum(self._service(o) for o in self.held.values() if self._density(o) >= density)
             ahead = (ahead + 0.5 * self.mean_run * self.running) / max(1.0, self.limit.limit)
         if not counters.fits(entry + task.size * counters.extra) or not self._in_time(now, task, ahead):
-            self._turn_away(task, False, self._pause())
+            self._turn_away(task, False)
             return False
         over_caller = counters.over_caller(task.caller, task.size)
         if not over_caller and counters.unanswered <= counters.clears:
@@ -423,12 +410,11 @@
         heavy = counters.by_caller
         rivals = [o for o in self.held.values() if not over_caller or o.caller == task.caller]
         lowest = min([task, *rivals], key=lambda o: (self._density(o), -heavy[o.caller], -o.arrived, o.q))
-        self._turn_away(lowest, False, self._pause())
+        self._turn_away(lowest, False)
         return lowest is not task
 
     def _slots(self) -> float:
-        # Reading crowds the cores as runs do, and runs that ignore it starve it: all that is read comes too
-        # late. A third of the cores, one run at least, goes on however much there is to read.
+        # Reading starved by runs comes too late for any use; a third of the cores, one run at least, goes on.
         return max(1.0, self.cores / 3.0, self.limit.limit - self.reading)
 
     def _fill(self, now: float) -> None:
@@ -439,13 +425,13 @@
                 return
             # What must call below is not started into a line of its like: it would only park and age there.
             lined = sum(not o.stage.skip_utility for o in self.waiting.values())
-            unlined = not lined or lined < self.calls.bound()
-            ready = [o for o in self.held.values() if unlined or o.stage.skip_utility]
+            full = lined and lined >= self.calls.bound()
+            ready = [o for o in self.held.values() if o.stage.skip_utility or not full]
             task = max(ready, default=None, key=lambda o: (self._density(o), -o.arrived, -o.q))
             if task is None or not self.counters.fits(task.size * self.counters.extra):
                 return
             if not self._in_time(now, task, 0.0):
-                self._turn_away(task, True, self._pause())
+                self._turn_away(task, True)
                 continue
             del self.held[task.q]
             self.counters.used += task.size * self.counters.extra
@@ -455,10 +441,9 @@
             self.host.start(task.q)
 
     def _learn(self, now: float, task: Task, took: float) -> None:
-        stage = task.stage
+        stage, task.stage.learnt_at = task.stage, now
         if task.crowd <= self.cores + 1 or stage.pace.seen < 8:  # one learnt crowded drifts upward
             stage.pace.add(now, took / task.work)
-        stage.learnt_at = now
         stage.away += self.RECENT * (task.away - stage.away)
         base = max(1.0, task.work * stage.pace.value)
         self.limit.observe(base, took)
@@ -466,17 +451,14 @@
         part = self.RECENT if self.mean_run else 1.0
         self.mean_run += part * (took - self.mean_run)
         self.mean_size += part * (task.size - self.mean_size)
-        self.mean_work += part * (task.work - self.mean_work)
-        due = max(kind.due for kind in self.stages)
-        self.counters.clears = self.limit.limit * self.mean_size * (1.0 + due / max(1.0, self.mean_run))
+        self.counters.clears = self.limit.limit * self.mean_size * (1.0 + self.due / max(1.0, self.mean_run))
 
     def _give_up(self, task: Task) -> None:
         """The final answer for what won't be finished; a task that never ran is turned away instead."""
         if task.state == HELD:
-            self._turn_away(task, True, self._pause())
-        else:
-            self.host.abandon(task.q)
-            self._drop(task)
+            return self._turn_away(task, True)
+        self.host.abandon(task.q)
+        return self._drop(task)
 
     def _drop(self, task: Task) -> None:
         self._settle(task)
@@ -485,9 +467,12 @@
         elif task.state == RUNNING and self.can_stop and task.stage.effect == RESTARTABLE:
             self.host.stop(task.q)  # a fingerprinted run goes on: its repeat may still share the result
 
-    def _turn_away(self, task: Task, terminal: bool, pause: float) -> None:
+    def _turn_away(self, task: Task, terminal: bool, pause: float | None = None) -> None:
         self.advice.turned_away += 1.0
         self._settle(task)
+        if pause is None:  # as long as the hold takes to empty
+            backlog = sum(self._service(other) for other in self.held.values())
+            pause = self.advice.pause(backlog / max(1.0, self.limit.limit))
         # A further try that is rejected again has found two servers full: more only spread the overload, and
         # so would all others where a quarter of what comes was turned away elsewhere.
         terminal |= task.again or self.advice.further > 0.25 * self.advice.read
@@ -502,8 +487,7 @@
 
     def _leave(self, task: Task) -> None:
         """Answered and off the cores: its memory is free, and its index unless an entry refers to it."""
-        self.counters.used -= task.size
-        task.state = DONE
+        self.counters.used, task.state = self.counters.used - task.size, DONE
         if task.entry_until and not task.ran:
             task.entry_until = 0.0
             self.counters.used -= self.counters.entry
@@ -519,15 +503,6 @@
         self.moved, self.stalled = now, False
         self._judge_fitness()
 
-    def _expire(self, now: float) -> None:
-        while self.entries and self.entries[0][0] <= now:
-            until, q = heapq.heappop(self.entries)
-            task = self.tasks.get(q)
-            if task is not None and task.entry_until == until:
-                task.entry_until = 0.0
-                self.counters.used -= self.counters.entry
-                self._release(task)
-
     def _repeat(self, task: Task, original: int, late: bool) -> bool:
         """True where the repeat is dealt with; False where it takes the place of a try that never ran."""
         first = self.tasks.get(original)
@@ -543,8 +518,8 @@
     def _call_next(self, now: float) -> None:
         while self.waiting and self.calls.free(now):
             # First the call whose loss costs most: what may skip it loses only a part of its utility.
-            task = max(self.waiting.values(), key=lambda o: (
-                self._density(o) * (1.0 - o.stage.skip_utility), -o.arrived, -o.q))
+            task = max(self.waiting.values(),
+                       key=lambda o: (self._density(o) * (1.0 - o.stage.skip_utility), -o.arrived, -o.q))
             del self.waiting[task.q]
             task.state = CALLING
             self.calls.in_hand += 1
@@ -559,27 +534,19 @@
         task.state = RUNNING
         self.running += 1
         self.moved = now if self.running == 1 else self.moved
-        task.away += now - task.parked_at
+        task.away += now
 
     def _in_time(self, now: float, task: Task, ahead: float) -> bool:
         # What no run has told of for five seconds is let in to learn: a gate shut on a stage would stay shut.
         if now - task.stage.learnt_at > 5000.0:
             return now < task.due
-        # Many runs take longer than expected, so 1.3 of it is kept; on cores with room a try costs little.
+        # Many runs take longer than expected, so 1.3 of it is kept; with room a try or late utility is cheap.
         finish = now + ahead + (1.3 if self.busy else 0.8) * self._service(task) + task.stage.away
-        if finish <= task.due:
-            return True
-        # Late utility counts only while the cores have room for it.
-        return task.stage.late_utility > 0.0 and not self.busy and finish <= task.limit
-
-    def _pause(self) -> float:
-        backlog = sum(self._service(other) for other in self.held.values())
-        return self.advice.pause(backlog / max(1.0, self.limit.limit))
+        return finish <= (task.limit if task.stage.late_utility and not self.busy else task.due)
 
     def _judge_fitness(self) -> None:
-        # Swamped: what is read now comes too late for any use, so that staying away costs nothing.
-        self.swamped = self.lag > (0.2 if self.swamped else 0.8)  # of the due time
-        fit = not self.stalled and not self.swamped and self.notice == math.inf
+        swamped = self.lag > (0.8 if self.fit else 0.2)  # what is read then comes too late for any use
+        fit = not self.stalled and not swamped and self.notice == math.inf
         if fit != self.fit:
             self.fit = fit
             self.host.fitness(fit)
