--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -1,8 +1,8 @@
 """All of vetchford's decisions, for one server's life.
 
 An adapter (vetchford/benchlink is one) builds the parts below, hands them to a `Node` and calls a method of
-it for each thing that happens, in ms since the start; it acts through its `Host` (vetchford/host.py). Beside the
-design (docs/design.md: byte counters with prompt rejections, a latency-gradient limit) stand six mechanisms:
+it for each thing that happens, in ms since the start; it acts through its `Host` (vetchford/host.py). Beside
+the design (docs/design.md: byte counters with prompt rejections, a latency-gradient limit) stand, at most six:
   1. answer clock: one final answer by the time limit; drain, kill, callers that are gone; a further try's age
   2. repeat table: fingerprints kept for their window, repeats answered by sharing, never by a second run
   3. call bound: calls below stay under this server's slice; waiting ones skip the call where that is worth it
@@ -249,7 +249,7 @@
         limit = min(at + kind.limit if limit_at is None else limit_at, self.kill)
         due = at + min(kind.due, 0.95 * self.first_wait * kind.limit)
         if limit_at is not None:
-            wait = limit_at - at  # a last try's may be all that its limit leaves, others' is as for first tries
+            wait = limit_at - at  # a last try's may be all that its limit leaves, others' as a first's
             self._learn_wait(wait / kind.limit)
             last = wait > (self.first_wait + 0.01) * kind.limit
             due -= max(0.0, (kind.limit if last else self.first_wait * kind.limit) - wait)  # its age
@@ -292,7 +292,6 @@
             task.limit = min(task.limit, self.kill)
 
     def gone(self, now: float, q: int) -> None:
-        """Nobody waits for this answer any more: nothing is owed for it."""
         task = self.tasks[q]
         if not task.answered:
             if not task.again:  # a further try's client may leave for reasons of the first
