--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -172,6 +172,28 @@
         return within + (1.0 - within) * self.over_utility
 
 
+class Waits:
+    """How long first tries wait, in hundredths of their time limit: as callers tell, or as they leave."""
+
+    def __init__(self) -> None:
+        self.counts = [0.0] * 100 + [1.0]
+
+    def add(self, share: float) -> int:
+        at = min(100, max(0, round(100.0 * share)))
+        self.counts[at] += 1.0
+        if sum(self.counts) > 400.0:  # halved: what callers did some hundreds of tasks ago fades
+            self.counts = [0.5 * count for count in self.counts]
+        return at
+
+    def age(self, share: float) -> float:
+        """How much is missing to the next wait that first tries tell, which are one in twenty or more."""
+        at, often = self.add(share), 0.05 * sum(self.counts)
+        return (next((n for n in range(at, 100) if self.counts[n] > often), 100) - at) / 100.0
+
+    def usual(self) -> float:
+        return max(range(101), key=self.counts.__getitem__) / 100.0
+
+
 class Advice:
     """What callers are told: how long to stay away, and the free value where there is one."""
 
@@ -180,29 +202,26 @@
         self.host, self.seed, self.say, self.longest = host, seed, say, longest
         self.callers, self.idle, self.kept = max(1, callers), idle, idle
         self.credit = 4.0 * cores / self.callers  # a caller's tasks at once: a core runs one, holds three
-        self.read = self.further = self.turned_away = 0.0  # decaying counts; further tries among those read
+        self.read = self.further = self.rejected = 0.0  # of about a second; further tries among the read
         self.visits, self.sweeps, self.shut = 0.0, 0, 0.0  # read a second; how far the table is left to fill
         self.open, self.said, self.asked, self.counter = 1.0, -1.0, 0.0, 0  # traffic wanted; told; draws
 
     def pause(self, wanted: float) -> float:
-        """Spread over half its length, so that callers do not come back in step."""
-        self.counter += 1
+        self.counter += 1  # spread over half its length, so that callers do not come back in step
         chance = zlib.crc32(b"%d:%d" % (self.seed, self.counter)) / 2**32
         told = min(self.longest, wanted) * (0.5 + 0.5 * chance)
         self.asked += 0.05 * (told - self.asked)
         return told
 
     def tell(self, lag: float, speed: float) -> None:
-        share = max(lag, self.turned_away / max(1.0, self.read))
+        share = max(lag, self.rejected / max(1.0, self.read))
         # A rejected share of 0.15 is left alone: it keeps the hold fed. Callers hear late: seconds a swing.
         move = 1.0 - 0.015 * min(1.0, share) if share > 0.15 else 1.0075
         self.open = min(1.0, max(0.02, self.open * move))
         self.sweeps += 1
         self.visits += (self.read - self.visits) / min(100, self.sweeps)  # looks back some five seconds
-        self.read, self.further, self.turned_away = (
-            count * 0.95 for count in (self.read, self.further, self.turned_away))  # a second
-        value = {"level": 1.0 - self.open, "credit": self.credit * self.open}.get(
-            self.say, self.open * min(1.0, speed))
+        self.read, self.further, self.rejected = self.read * 0.95, self.further * 0.95, self.rejected * 0.95
+        value = {"level": 1.0 - self.open, "credit": self.credit * self.open}.get(self.say, self.open * speed)
         if self.say != "silent" and abs(value - self.said) > 0.02:
             self.said = value
             self.host.stamp(value)
@@ -237,9 +256,8 @@
         self.running, self.moved = 0, 0.0  # runs on the cores; when one last started or moved on
         self.stalled, self.fit, self.notice, self.kill = False, True, math.inf, math.inf
         self.stretch, self.lag = 1.0, 0.0  # recent run time over the base, wait to be read over the due time
-        self.first_wait, self.votes = 1.0, 0  # share of a time limit that first tries wait
-        self.busy, self.reading = False, 0.0  # the cores, and what else than runs stands on them
-        self.mean_run = self.mean_size = 0.0  # recent, of finished tasks
+        self.waits, self.busy, self.reading = Waits(), False, 0.0  # reading: on the cores beside the runs
+        self.mean_run = self.mean_size = self.mean_work = 0.0  # recent, of finished tasks
         host.fitness(True)
         host.wake(self.SWEEP)
 
@@ -247,13 +265,10 @@
                 work: float | None, size: int, again: bool, queued_for: float, original: int | None) -> None:
         kind, at = self.stages[stage], now - queued_for
         limit = min(at + kind.limit if limit_at is None else limit_at, self.kill)
-        due = at + min(kind.due, 0.95 * self.first_wait * kind.limit)
+        due = at + min(kind.due, kind.limit if limit_at else 0.95 * self.waits.usual() * kind.limit)
         if limit_at is not None:
-            wait = limit_at - at  # a last try's may be all that its limit leaves, others' as a first's
-            self._learn_wait(wait / kind.limit)
-            last = wait > (self.first_wait + 0.01) * kind.limit
-            due -= max(0.0, (kind.limit if last else self.first_wait * kind.limit) - wait)  # its age
-            again |= last  # but not one that only walked on
+            age = self.waits.age((limit_at - at) / kind.limit)
+            due, again = due - age * kind.limit, again or age > 0.05  # less has only walked on
         elif again:
             due -= 0.5 * self.advice.asked  # it stayed away as long as this server asks, or walked on
         work, due = work or 1.0, min(due, limit)
@@ -279,13 +294,7 @@
                 self.host.remember(q, keep_for)
             self._fill(now)
 
-    def _learn_wait(self, share: float) -> None:
-        self.votes = min(20, self.votes + (1 if abs(share - self.first_wait) < 0.01 else -1))
-        if self.votes < 0:  # twenty odd ones in a row unseat it: callers that changed
-            self.first_wait, self.votes = share, 0
-
     def leaving(self, now: float, kill: float) -> None:
-        """Notice to leave: later newcomers are turned away, what was read is answered before the kill."""
         self.notice, self.kill = now, kill - 20.0  # ms: several rounds of events to spare before the kill
         self._judge_fitness()
         for task in self.tasks.values():
@@ -295,7 +304,7 @@
         task = self.tasks[q]
         if not task.answered:
             if not task.again:  # a further try's client may leave for reasons of the first
-                self._learn_wait(min(1.0, (now - task.arrived) / task.stage.limit))
+                self.waits.add((now - task.arrived) / task.stage.limit)
             self._drop(task)
             self._fill(now)
 
@@ -310,7 +319,8 @@
         elif task.state == CALLING:
             self.calls.ended(now, None)
         if task.state != SHARING:
-            self._moved(now)
+            self.moved, self.stalled = now, False
+            self._judge_fitness()
             self.counters.used -= task.size * self.counters.extra
         if not task.answered:
             self._settle(task)
@@ -320,7 +330,8 @@
     def stalled_on_call(self, now: float, q: int) -> None:
         task = self.tasks[q]
         self.running -= 1
-        self._moved(now)
+        self.moved, self.stalled = now, False
+        self._judge_fitness()
         task.state, task.away = PARKED, task.away - now
         if not task.answered:  # else it ends by itself
             self.waiting[q] = task
@@ -349,8 +360,7 @@
         """The sweep, with the gauges: share of busy cores, and all that wants a core just now."""
         self.host.wake(self.SWEEP)
         self.busy = busy is None or busy > 0.8  # the design's mark
-        reading = min(max(0.0, (on_cores or 0.0) - self.running), self.cores)
-        self.reading += 0.3 * (reading - self.reading)  # looks back three or four sweeps
+        self.reading += 0.3 * (min(max(0.0, (on_cores or 0.0) - self.running), self.cores) - self.reading)
         while self.entries and self.entries[0][0] <= now:
             until, q = heapq.heappop(self.entries)
             task = self.tasks.get(q)
@@ -380,13 +390,14 @@
             elif task.q in self.waiting and finish > (task.limit if task.stage.late_utility else task.due):
                 self._skip(now, task) if task.stage.skip_utility > 0.0 else self._give_up(task)
         self._call_next(now)
-        self.advice.tell(self.lag, 1.0 / self.stretch)
+        # Told work is time on a standard core, whose server asks for half: odds choose between servers.
+        speed = 0.5 * self.mean_work / self.mean_run if self.mean_work > 1.0 else 1.0 / self.stretch
+        self.advice.tell(self.lag, min(1.0, speed))
         self._fill(now)
 
     def _density(self, task: Task) -> float:
-        """Utility over expected work, which orders the hold."""
-        utility = task.stage.weight * self.tenants.factor(task.tenant)
-        utility *= 0.7 if task.again else 1.0  # a further try is nearer its due time
+        """Utility over expected work, which orders the hold; a further try's answer is likelier late."""
+        utility = task.stage.weight * self.tenants.factor(task.tenant) * (0.7 if task.again else 1.0)
         return utility if self.by_work else utility / max(1.0, task.work * task.stage.pace.value)
 
     def _service(self, task: Task) -> float:
@@ -405,8 +416,7 @@
         over_caller = counters.over_caller(task.caller, task.size)
         if not over_caller and counters.unanswered <= counters.clears:
             return True
-        # Room goes to the higher utility; among equals the heaviest caller loses it first.
-        heavy = counters.by_caller
+        heavy = counters.by_caller  # room goes to the higher utility; among equals the heaviest loses it
         rivals = [o for o in self.held.values() if not over_caller or o.caller == task.caller]
         lowest = min([task, *rivals], key=lambda o: (self._density(o), -heavy[o.caller], -o.arrived, o.q))
         self._turn_away(lowest, False)
@@ -417,7 +427,6 @@
         return max(1.0, self.cores / 3.0, self.limit.limit - self.reading)
 
     def _fill(self, now: float) -> None:
-        """Starts held tasks, best first, as far as the limit, the memory and the calls in wait allow."""
         while self.held and not self.stalled:
             if self.running + 1 > self._slots():
                 self.limit.in_use = True
@@ -450,11 +459,11 @@
         part = self.RECENT if self.mean_run else 1.0
         self.mean_run += part * (took - self.mean_run)
         self.mean_size += part * (task.size - self.mean_size)
+        self.mean_work += part * (task.work - self.mean_work)
         self.counters.clears = self.limit.limit * self.mean_size * (1.0 + self.due / max(1.0, self.mean_run))
 
     def _give_up(self, task: Task) -> None:
-        """The final answer for what won't be finished; a task that never ran is turned away instead."""
-        if task.state == HELD:
+        if task.state == HELD:  # never ran
             return self._turn_away(task, True)
         self.host.abandon(task.q)
         return self._drop(task)
@@ -467,7 +476,7 @@
             self.host.stop(task.q)  # a fingerprinted run goes on: its repeat may still share the result
 
     def _turn_away(self, task: Task, terminal: bool, pause: float | None = None) -> None:
-        self.advice.turned_away += 1.0
+        self.advice.rejected += 1.0
         self._settle(task)
         if pause is None:  # as long as the hold takes to empty
             backlog = sum(self._service(other) for other in self.held.values())
@@ -485,7 +494,6 @@
         self.counters.answered(task.caller, task.size)
 
     def _leave(self, task: Task) -> None:
-        """Answered and off the cores: its memory is free, and its index unless an entry refers to it."""
         self.counters.used, task.state = self.counters.used - task.size, DONE
         if task.entry_until and not task.ran:
             task.entry_until = 0.0
@@ -498,10 +506,6 @@
             del self.tasks[task.q]
             self.host.release(task.q)
 
-    def _moved(self, now: float) -> None:
-        self.moved, self.stalled = now, False
-        self._judge_fitness()
-
     def _repeat(self, task: Task, original: int, late: bool) -> bool:
         """True where the repeat is dealt with; False where it takes the place of a try that never ran."""
         first = self.tasks.get(original)
@@ -510,8 +514,7 @@
             self._turn_away(first, True, 0.0)
             return False
         task.state = SHARING
-        # One that is not known may have run, so it is neither run nor turned away.
-        self.host.share(task.q) if first else self._give_up(task)
+        self.host.share(task.q) if first else self._give_up(task)  # one not known may have run
         return True
 
     def _call_next(self, now: float) -> None:
