--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -376,7 +376,7 @@
             stage.weight = stage.utility * (bonus if stage is worst else 1.0)
             stage.asked, stage.got = stage.asked * 0.999, stage.got * 0.999  # look back about a minute
         ceiling = self.crowd_cold + (self.crowd_warm - self.crowd_cold) * min(1.0, now / max(1.0, self.ramp))
-        self.limit.step(now, ceiling, self.busy, not self.busy)  # more runs on busy cores only slow all
+        self.limit.step(now, ceiling, self.busy, busy is not None and busy < 0.5)  # more runs on busy cores only slow all
         still = now - self.moved > max(1500.0, 4.0 * self.mean_run)  # with all slots in use: far over chance
         self.stalled |= still and self.running >= min(self.limit.limit, self.cores)
         self.lag *= 1.0 if self.reading > 1.0 else 0.9  # nothing stands unread
