--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -407,7 +407,7 @@
         counters = self.counters
         entry = counters.entry if task.stage.effect == FINGERPRINTED else 0.0
         density, ahead = self._density(task), 0.0
-        if self.running + 0.5 > self._slots():
+        if self.running + 0.2 > self._slots():
             ahead = sum(self._service(o) for o in self.held.values() if self._density(o) >= density)
             ahead = (ahead + 0.5 * self.mean_run * self.running) / max(1.0, self.limit.limit)
         if not counters.fits(entry + task.size * counters.extra) or not self._in_time(now, task, ahead):
@@ -428,7 +428,7 @@
 
     def _fill(self, now: float) -> None:
         while self.held and not self.stalled:
-            if self.running + 0.5 > self._slots():
+            if self.running + 0.2 > self._slots():
                 self.limit.in_use = True
                 return
             # What must call below is not started into a line of its like: it would only park and age there.
