--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -457,6 +457,8 @@
         self.limit.observe(base, took)
         self.stretch += self.RECENT * (min(8.0, took / base) - self.stretch)
         part = self.RECENT if self.mean_run else 1.0
+        # A long run whose work nobody told would hold a core against many short ones: they share it.
+        self.limit.floor = self.cores * (1.0 if self.mean_work > 1.0 else 1.5)
         self.mean_run += part * (took - self.mean_run)
         self.mean_size += part * (task.size - self.mean_size)
         self.mean_work += part * (task.work - self.mean_work)
