--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -218,8 +218,8 @@
         # A rejected share of 0.15 is left alone: it keeps the hold fed. Callers hear late: seconds a swing.
         move = 1.0 - 0.015 * min(1.0, share) if share > 0.15 else 1.0075
         self.open = min(1.0, max(0.02, self.open * move))
-        self.sweeps += 1
-        self.visits += (self.read - self.visits) / min(100, self.sweeps)  # looks back some five seconds
+        self.sweeps = min(100, self.sweeps + 1)
+        self.visits += (self.read - self.visits) / self.sweeps  # looks back some five seconds
         self.read, self.further, self.rejected = self.read * 0.95, self.further * 0.95, self.rejected * 0.95
         value = {"level": 1.0 - self.open, "credit": self.credit * self.open}.get(self.say, self.open * speed)
         if self.say != "silent" and abs(value - self.said) > 0.02:
@@ -376,9 +376,10 @@
             stage.weight = stage.utility * (bonus if stage is worst else 1.0)
             stage.asked, stage.got = stage.asked * 0.999, stage.got * 0.999  # look back about a minute
         ceiling = self.crowd_cold + (self.crowd_warm - self.crowd_cold) * min(1.0, now / max(1.0, self.ramp))
-        self.limit.step(now, ceiling, self.busy, busy is not None and busy < 0.5)  # more runs on busy cores only slow all
-        still = now - self.moved > max(1500.0, 4.0 * self.mean_run)  # with all slots in use: far over chance
-        self.stalled |= still and self.running >= min(self.limit.limit, self.cores)
+        # More runs on busy cores only slow all, and at a few cores the root is a large part of the limit.
+        self.limit.step(now, ceiling, self.busy, busy is not None and busy < 0.5)
+        if now - self.moved > max(1500.0, 4.0 * self.mean_run):  # with all slots in use: far over chance
+            self.stalled |= self.running >= min(self.limit.limit, self.cores)
         self.lag *= 1.0 if self.reading > 1.0 else 0.9  # nothing stands unread
         self._judge_fitness()
         for task in [task for task in self.tasks.values() if not task.answered]:
@@ -404,9 +405,8 @@
         return task.work * task.stage.pace.value * self.stretch
 
     def _admit(self, now: float, task: Task) -> bool:
-        counters = self.counters
+        counters, density, ahead = self.counters, self._density(task), 0.0
         entry = counters.entry if task.stage.effect == FINGERPRINTED else 0.0
-        density, ahead = self._density(task), 0.0
         if self.running + 0.2 > self._slots():
             ahead = sum(self._service(o) for o in self.held.values() if self._density(o) >= density)
             ahead = (ahead + 0.5 * self.mean_run * self.running) / max(1.0, self.limit.limit)
@@ -457,7 +457,7 @@
         self.limit.observe(base, took)
         self.stretch += self.RECENT * (min(8.0, took / base) - self.stretch)
         part = self.RECENT if self.mean_run else 1.0
-        # A long run whose work nobody told would hold a core against many short ones: they share it.
+        # Where no work is told a long run would hold a core against many short ones: one and a half share it.
         self.limit.floor = self.cores * (1.0 if self.mean_work > 1.0 else 1.5)
         self.mean_run += part * (took - self.mean_run)
         self.mean_size += part * (task.size - self.mean_size)
@@ -512,8 +512,7 @@
         """True where the repeat is dealt with; False where it takes the place of a try that never ran."""
         first = self.tasks.get(original)
         if first and first.state == HELD and not late and task.stage.effect == FINGERPRINTED:
-            # The earlier try's caller has given up on it: the newer one has more time left and takes over.
-            self._turn_away(first, True, 0.0)
+            self._turn_away(first, True, 0.0)  # its caller has given up on it, the newer one has more time
             return False
         task.state = SHARING
         self.host.share(task.q) if first else self._give_up(task)  # one not known may have run
