--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -457,11 +457,11 @@
         self.limit.observe(base, took)
         self.stretch += self.RECENT * (min(8.0, took / base) - self.stretch)
         part = self.RECENT if self.mean_run else 1.0
-        # Where no work is told a long run would hold a core against many short ones: one and a half share it.
-        self.limit.floor = self.cores * (1.0 if self.mean_work > 1.0 else 1.5)
         self.mean_run += part * (took - self.mean_run)
         self.mean_size += part * (task.size - self.mean_size)
         self.mean_work += part * (task.work - self.mean_work)
+        # Where no work is told a long run would hold a core against many short ones: one and a half share it.
+        self.limit.floor = self.cores * (1.0 if self.mean_work > 1.0 else 1.5)
         self.counters.clears = self.limit.limit * self.mean_size * (1.0 + self.due / max(1.0, self.mean_run))
 
     def _give_up(self, task: Task) -> None:
