--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -203,7 +203,7 @@
         self.callers, self.idle, self.kept = max(1, callers), idle, idle
         self.credit = 4.0 * cores / self.callers  # a caller's tasks at once: a core runs one, holds three
         self.read = self.further = self.rejected = 0.0  # of about a second; further tries among the read
-        self.visits, self.sweeps, self.shut = 0.0, 0, 0.0  # read a second; how far the table is left to fill
+        self.visits, self.sweeps, self.shut, self.lost = 0.0, 0, 0.0, 0.0  # read a second; how far the table is left to fill
         self.open, self.said, self.asked, self.counter = 1.0, -1.0, 0.0, 0  # traffic wanted; told; draws
 
     def pause(self, wanted: float) -> float:
@@ -228,7 +228,8 @@
         # A new connection costs about what five seconds of an open one do. Callers that come less often would
         # fill the table with connections that nobody uses again. In a jam of reading a full table turns the
         # next ones away unread; it opens again over ten seconds, since a jam that opens at once comes back.
-        self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2)
+        self.lost += 0.01 * (self.rejected / max(1.0, self.read) - self.lost)
+        self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2, 4.0 * self.lost - 2.8)
         keep = max(10.0, self.idle * min(1.0, max(self.shut, (5.0 * self.visits / self.callers) ** 2)))
         if self.idle and not 0.8 < keep / self.kept < 1.25:
             self.kept = keep
