--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -399,7 +399,7 @@
 
     def _density(self, task: Task) -> float:
         """Utility over expected work, which orders the hold; a further try's answer is likelier late."""
-        utility = task.stage.weight * self.tenants.factor(task.tenant) * (0.7 if task.again else 1.0)
+        utility = task.stage.weight * self.tenants.factor(task.tenant) * (0.4 if task.again else 1.0)
         return utility if self.by_work else utility / max(1.0, task.work * task.stage.pace.value)
 
     def _service(self, task: Task) -> float:
