--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -212,7 +212,7 @@
         self.asked += 0.05 * (told - self.asked)
         return told
 
-    def tell(self, lag: float, speed: float) -> None:
+    def tell(self, lag: float, speed: float, reading: float) -> None:
         share = max(lag, self.rejected / max(1.0, self.read))
         # A rejected share of 0.15 is left alone: it keeps the hold fed. Callers hear late: seconds a swing.
         move = 1.0 - 0.015 * min(1.0, share) if share > 0.15 else 1.0075
@@ -224,11 +224,11 @@
         if self.say != "silent" and abs(value - self.said) > 0.02:
             self.said = value
             self.host.stamp(value)
-        # A new connection costs some five seconds of an open one: idle ones of callers that come less often only
+        # A new connection costs some five seconds of an open one: idle ones of callers that come less often just
         # fill the table. A full one turns newcomers away unread, which helps in a jam of reading or where seven
-        # in ten reads are for nothing; it opens over ten seconds, lest the jam come back.
+        # reads in ten are for nothing; it opens over ten seconds, lest the jam come back.
         self.lost += 0.01 * (self.rejected / max(1.0, self.read) - self.lost)
-        self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2, 4.0 * self.lost - 2.8)
+        self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2, 4.0 * self.lost - 2.8, 3.0 * reading - 1.8)
         keep = max(10.0, self.idle * min(1.0, max(self.shut, (5.0 * self.visits / self.callers) ** 2)))
         if self.idle and not 0.8 < keep / self.kept < 1.25:
             self.kept = keep
@@ -393,7 +393,7 @@
         self._call_next(now)
         # Told work is time on a standard core, whose server asks for half: odds choose between servers.
         speed = 0.5 * self.mean_work / self.mean_run if self.mean_work > 1.0 else 1.0 / self.stretch
-        self.advice.tell(self.lag, min(1.0, speed))
+        self.advice.tell(self.lag, min(1.0, speed), self.reading / self.cores)
         self._fill(now)
 
     def _density(self, task: Task) -> float:
