--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -202,7 +202,7 @@
         self.callers, self.idle, self.kept = max(1, callers), idle, idle
         self.credit = 4.0 * cores / self.callers  # a caller's tasks at once: a core runs one, holds three
         self.read = self.further = self.rejected = 0.0  # of about a second; further tries among the read
-        self.visits, self.sweeps, self.shut, self.load = 0.0, 0, 0.0, 0.0  # load: of the cores by reading
+        self.visits, self.sweeps, self.shut, self.wasted = 0.0, 0, 0.0, 0.0  # wasted: of the cores
         self.open, self.said, self.asked, self.counter = 1.0, -1.0, 0.0, 0  # traffic wanted; told; draws
 
     def pause(self, wanted: float) -> float:
@@ -227,8 +227,8 @@
         # A new connection costs some five seconds of an open one: idle ones of callers that come less often just
         # fill the table. A full one turns newcomers away unread, which helps in a jam of reading or where seven
         # reads in ten are for nothing; it opens over ten seconds, lest the jam come back.
-        self.load += 0.01 * (reading - self.load)
-        self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2, 4.0 * self.load - 2.4)
+        self.wasted += 0.02 * (reading * self.rejected / max(1.0, self.read) - self.wasted)
+        self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2, 4.0 * self.wasted - 1.8)
         keep = max(10.0, self.idle * min(1.0, max(self.shut, (5.0 * self.visits / self.callers) ** 2)))
         if self.idle and not 0.8 < keep / self.kept < 1.25:
             self.kept = keep
