--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -228,7 +228,7 @@
         # fill the table. A full one turns newcomers away unread, which helps in a jam of reading or where seven
         # reads in ten are for nothing; it opens over ten seconds, lest the jam come back.
         self.wasted += 0.02 * (reading * self.rejected / max(1.0, self.read) - self.wasted)
-        self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2, 4.0 * self.wasted - 1.8)
+        self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2, 6.0 * self.wasted - 3.6)
         keep = max(10.0, self.idle * min(1.0, max(self.shut, (5.0 * self.visits / self.callers) ** 2)))
         if self.idle and not 0.8 < keep / self.kept < 1.25:
             self.kept = keep
