--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -224,9 +224,9 @@
         if self.say != "silent" and abs(value - self.said) > 0.02:
             self.said = value
             self.host.stamp(value)
-        # A new connection costs some five seconds of an open one: idle ones of callers that come less often just
-        # fill the table. A full one turns newcomers away unread, which helps in a jam of reading or where seven
-        # reads in ten are for nothing; it opens over ten seconds, lest the jam come back.
+        # A new connection costs some five seconds of an open one: idle ones of callers that come less often
+        # just fill the table. A full one turns newcomers away unread, which helps while reads are too late or
+        # six tenths of the cores read for nothing; it opens over ten seconds, lest the jam come back.
         self.wasted += 0.02 * (reading * self.rejected / max(1.0, self.read) - self.wasted)
         self.shut = max(0.995 * self.shut, 2.0 * lag - 0.2, 6.0 * self.wasted - 3.6)
         keep = max(10.0, self.idle * min(1.0, max(self.shut, (5.0 * self.visits / self.callers) ** 2)))
