--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -450,7 +450,7 @@
 
     def _learn(self, now: float, task: Task, took: float) -> None:
         stage, task.stage.learnt_at = task.stage, now
-        if task.crowd <= self.cores + 1 or stage.pace.seen < 8:  # one learnt crowded drifts upward
+        if task.crowd <= 1.2 * self.cores or stage.pace.seen < 8:  # one learnt crowded drifts upward
             stage.pace.add(now, took / task.work)
         stage.away += self.RECENT * (task.away - stage.away)
         base = max(1.0, task.work * stage.pace.value)
