Under a slice of one call a hung call is cut before it fills the slice

Found in reading: with under one call a server, a ledger that hangs would hold one call of every server to its time limit, at full size more than twice what it survives. A call is now cut at half the slice times the period. Covers any hanging dependency; harm: calls slower than that on a starved slice never succeed. Model test asserts it.

--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -65,6 +65,8 @@
     def call(self, q, cut_at):
         task = self.tasks[q]
         assert task["state"] == "parked"
+        # With a slice of 0.02 over 5 s one hung call, waited for to its limit, would take many slices.
+        assert self.slice > 1 or cut_at <= self.now + 50.001, "a hung call over the slice"
         assert not task["effect"] or not task["made"] or task["proven"], "a call repeated without proof"
         task["state"], task["made"], task["proven"] = "calling", task["made"] + 1, False
         assert sum(other["state"] == "calling" for other in self.tasks.values()) <= self.slice, "over"
--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -128,6 +128,7 @@
     def __init__(self, share: float | None, over: float, linger: float, cores: int) -> None:
         self.share = 2.0 * cores if share is None else share  # none told: two sets of runs may wait on calls
         self.over, self.linger, self.rest_until = over, linger, 0.0
+        self.longest = 0.5 * self.share * over if self.share < 1.0 else math.inf  # a hung one stays under it
         self.gradient = GradientLimit(1.0, max(1.0, self.share))
         self.base, self.in_hand = LongMean(16), 0  # calls differ little, and a slow spell may come early
         self.lingering: list[float] = []  # ends of abandoned calls; emptied as they pass
@@ -189,9 +190,6 @@
         at, often = self.add(share), 0.05 * sum(self.counts)
         return (next((n for n in range(at, 100) if self.counts[n] > often), 100) - at) / 100.0
 
-    def usual(self) -> float:
-        return max(range(101), key=self.counts.__getitem__) / 100.0
-
 
 class Advice:
     """What callers are told: how long to stay away, and the free value where there is one."""
@@ -265,7 +263,8 @@
                 work: float | None, size: int, again: bool, queued_for: float, original: int | None) -> None:
         kind, at = self.stages[stage], now - queued_for
         limit = min(at + kind.limit if limit_at is None else limit_at, self.kill)
-        due = at + min(kind.due, kind.limit if limit_at else 0.95 * self.waits.usual() * kind.limit)
+        usual = max(range(101), key=self.waits.counts.__getitem__) / 100.0
+        due = at + min(kind.due, kind.limit if limit_at else 0.95 * usual * kind.limit)
         if limit_at is not None:
             age = self.waits.age((limit_at - at) / kind.limit)
             due, again = due - age * kind.limit, again or age > 0.05  # less has only walked on
@@ -526,7 +525,7 @@
             del self.waiting[task.q]
             task.state = CALLING
             self.calls.in_hand += 1
-            self.host.call(task.q, task.limit)
+            self.host.call(task.q, min(task.limit, now + self.calls.longest))
 
     def _skip(self, now: float, task: Task) -> None:
         self.waiting.pop(task.q, None)
