--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -142,8 +142,8 @@
 
     def ended(self, now: float, took: float | None) -> None:
         self.in_hand -= 1
-        if self.share < 1.0:  # one at a time, with rests that keep the mean under half the slice
-            self.rest_until = now + (self.over if took is None else 2.0 * took / self.share)
+        if self.share < 1.0:  # one at a time, with rests that keep the mean under the slice
+            self.rest_until = now + (self.over if took is None else took / self.share)
         if took is None:  # abandoned: it may linger below
             self.lingering.append(now + self.linger)
             return
