--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -128,7 +128,7 @@
     def __init__(self, share: float | None, over: float, linger: float, cores: int) -> None:
         self.share = 2.0 * cores if share is None else share  # none told: two sets of runs may wait on calls
         self.over, self.linger, self.rest_until = over, linger, 0.0
-        self.longest = 0.5 * self.share * over if self.share < 1.0 else math.inf  # a hung one stays under it
+        self.longest = 0.5 * self.share * over if self.share < 1.0 else math.inf  # a hung one: half of it
         self.gradient = GradientLimit(1.0, max(1.0, self.share))
         self.base, self.in_hand = LongMean(16), 0  # calls differ little, and a slow spell may come early
         self.lingering: list[float] = []  # ends of abandoned calls; emptied as they pass
@@ -267,9 +267,9 @@
         due = at + min(kind.due, kind.limit if limit_at else 0.95 * usual * kind.limit)
         if limit_at is not None:
             age = self.waits.age((limit_at - at) / kind.limit)
-            due, again = due - age * kind.limit, again or age > 0.05  # less has only walked on
+            due, again = due - age * kind.limit, again or age > 0.05  # under a twentieth it only walked on
         elif again:
-            due -= 0.5 * self.advice.asked  # it stayed away as long as this server asks, or walked on
+            due -= 0.5 * self.advice.asked  # stayed away as this server asks, or walked on: half
         work, due = work or 1.0, min(due, limit)
         task = self.tasks[q] = Task(q, kind, tenant, caller, at, due, limit, work, size, again)
         self.counters.add(caller, size)
@@ -396,7 +396,7 @@
         self._fill(now)
 
     def _density(self, task: Task) -> float:
-        """Utility over expected work, which orders the hold; a further try's answer is likelier late."""
+        """Utility over expected work, which orders the hold; a first try sent away starts a walk."""
         utility = task.stage.weight * self.tenants.factor(task.tenant) * (0.4 if task.again else 1.0)
         return utility if self.by_work else utility / max(1.0, task.work * task.stage.pace.value)
 
@@ -427,7 +427,7 @@
 
     def _fill(self, now: float) -> None:
         while self.held and not self.stalled:
-            if self.running + 0.2 > self._slots():
+            if self.running + 0.2 > self._slots():  # rounded up: a little reading must idle no core
                 self.limit.in_use = True
                 return
             # What must call below is not started into a line of its like: it would only park and age there.
