--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -2,7 +2,7 @@
 
 An adapter (vetchford/benchlink is one) builds the parts below, hands them to a `Node` and calls a method of
 it for each thing that happens, in ms since the start; it acts through its `Host` (vetchford/host.py). Beside
-the design (docs/design.md: byte counters with prompt rejections, a latency-gradient limit) stand six alone:
+the design (docs/design.md: byte counters with prompt rejections, a latency-gradient limit) stand these six:
   1. answer clock: one final answer by the time limit; drain, kill, callers that are gone; a further try's age
   2. repeat table: fingerprints kept for their window, repeats answered by sharing, never by a second run
   3. call bound: calls below stay under this server's slice; waiting ones skip the call where that is worth it
