--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -104,8 +104,9 @@
               stage(utility=2.0, effect=rules.SIDE_EFFECTING, due=900.0, limit=2200.0)]
     host, callers = Model(), 2000 if edge else 3
     host.slice = 1 if edge else 4  # edge: a slice far under one call, thousands of callers, waits told
-    server = node(host, stages=stages, cores=1 if edge else CORES, cold=seed % 2 == 0, memory=MEMORY, callers=callers,
-                  share=0.02 if edge else 4.0, say="level", quotas=[0.01, 0.02], can_stop=seed % 3 == 0)
+    server = node(host, stages=stages, cores=1 if edge else CORES, cold=seed % 2 == 0, memory=MEMORY,
+                  callers=callers, share=0.02 if edge else 4.0, say="level", quotas=[0.01, 0.02],
+                  can_stop=seed % 3 == 0)
     subject, killed = 0, float("inf")
     for step in range(3500):
         host.now = now = step * 5.0
