--- /dev/null
+++ b/vetchford/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m vetchford`."""
+
+import sys
+
+from vetchford.cli import main
+
+sys.exit(main())
--- a/vetchford/benchlink/link.py
+++ b/vetchford/benchlink/link.py
@@ -6,25 +6,15 @@
 from pathlib import Path
 from typing import Any
 
-from vetchford import rules
+from vetchford import rules, startup
+from vetchford.startup import BYTES_PER_KB, NS_PER_MS, MalformedError
 
-NS_PER_MS = 1_000_000
-BYTES_PER_KB = 1024
 UNKNOWN = -1  # a repeat of something that this life no longer holds
-EFFECTS = {
-    "read_like": rules.RESTARTABLE,
-    "idempotency_key": rules.FINGERPRINTED,
-    "non_idempotent": rules.SIDE_EFFECTING,
-}
 CODES = frozenset(
     ("completed", "errored", "saturated", "overdue", "refused_conn", "severed", "recalled", "superseded")
 )
 
 
-class MalformedError(Exception):
-    """Input that is not the wire's; says which field."""
-
-
 def need(event: dict[str, Any], key: str, kinds: type | tuple[type, ...]) -> Any:
     value = event.get(key)
     if not isinstance(value, kinds) or (isinstance(value, bool) and kinds is not bool):
@@ -112,7 +102,9 @@
     def attach(self, event: dict[str, Any]) -> None:
         settings = need(event, "settings", dict)
         seed = need(event, "prng", int)
-        self.node = build(self, seed, settings)
+        cold = bool((settings.get("familyInfo") or {}).get("cold"))
+        self.stages, self.tenants, self.gauges = startup.indices(settings)
+        self.node = startup.build(self, seed, settings, cold)
 
     def ingress(self, now: float, event: dict[str, Any]) -> None:
         name = need(event, "call", str)
@@ -191,88 +183,6 @@
     }
 
 
-def build(instance: Instance, seed: int, told: dict[str, Any]) -> rules.Node:
-    """The module's parts, each from its own few settings."""
-    info = told.get("familyInfo") or {}
-    limits = told.get("rules") or {}
-    goal = told.get("goal") or {}
-    rest = ((goal.get("whole") or 0.0) + (goal.get("worstWindow") or 0.0)) or 1.0
-    caps = told.get("caps") or {}
-    cores = info.get("cores") or 0
-    if cores < 1:
-        raise MalformedError("attach: settings key 'familyInfo.cores' must be 1 or more")
-    classes = told.get("requestClasses") or []
-    if not classes:
-        raise MalformedError("attach: settings key 'requestClasses' names no stage")
-    skips = info.get("classSkipWorth") or []
-    stages = []
-    for at, entry in enumerate(classes):
-        if entry.get("effect") not in EFFECTS:
-            raise MalformedError(f"attach: settings key 'requestClasses[{at}].effect' is none that is known")
-        if not entry.get("deadline"):
-            raise MalformedError(f"attach: settings key 'requestClasses[{at}].deadline' must be above 0")
-        instance.stages[entry.get("name") or ""] = at
-        limit = entry["deadline"] / NS_PER_MS
-        stages.append(
-            rules.Stage(
-                due=(entry.get("promise") or entry["deadline"]) / NS_PER_MS,
-                limit=limit,
-                utility=entry.get("worth") or 0.0,
-                late_utility=entry.get("lateWorth") or 0.0,
-                effect=EFFECTS[entry["effect"]],
-                window=(entry.get("window") or 0) / NS_PER_MS,
-                skip_utility=skips[at] if at < len(skips) else 0.0,
-            )
-        )
-    customers = told.get("customers") or []
-    for at, entry in enumerate(customers):
-        instance.tenants[entry.get("name") or ""] = at
-    instance.gauges = {name: at for at, name in enumerate(info.get("ownStats") or [])}
-    below = info.get("below") or "silent"
-    bound = None
-    if below != "silent":
-        bound = rules.CallBound(
-            share=info.get("depShare") if below == "shared" else None,
-            over=(info.get("callsOver") or 0) / NS_PER_MS,
-            linger=(info.get("linger") or 0) / NS_PER_MS,
-            cores=cores,
-        )
-    tenants = rules.TenantShare(
-        quotas=[(entry.get("quotaPerS") or 0.0) / 1000.0 for entry in customers],
-        servers=told.get("servers") or 1,
-        over_utility=told.get("overShareWorth") or 0.0,
-    )
-    pauses = (caps.get("maxRetryAfter") or 0) / NS_PER_MS if caps.get("retryAfter") else 0.0
-    return rules.Node(
-        host=instance,
-        stages=stages,
-        cores=cores,
-        survives=limits.get("fallMultiple") or 1.0,
-        cold_from=limits.get("coldFrom") or 1.0,
-        ramp=(limits.get("rampTime") or 0) / NS_PER_MS if info.get("cold") else 0.0,
-        counters=rules.ByteCounters(
-            memory=(info.get("ramKb") or math.inf) * BYTES_PER_KB,
-            multiple=info.get("blowup") or 1.0,
-            entry=(info.get("keyKb") or 0.0) * BYTES_PER_KB,
-        ),
-        calls=bound,
-        tenants=tenants,
-        advice=rules.Advice(
-            host=instance,
-            seed=seed,
-            say=info.get("say") or "silent",
-            longest=pauses,
-            callers=info.get("callers") or 1,
-            cores=cores,
-            idle=(info.get("callerIdle") or 0) / NS_PER_MS,
-        ),
-        by_work=told.get("valueBy") == "work",
-        can_stop=info.get("halt") in ("drop", "pause"),
-        worst_weight=(goal.get("worstClass") or 0.0) / rest,
-        grace=(limits.get("drainGrace") or 0) / NS_PER_MS,
-    )
-
-
 class Link:
     """All instances that one process hosts; they share nothing but the reply that carries their actions."""
 
--- /dev/null
+++ b/vetchford/lifecycle/actor.py
@@ -0,0 +1,58 @@
+"""Mailboxes, and the threads that empty them."""
+
+import threading
+from collections.abc import Callable
+from queue import Empty, SimpleQueue
+from typing import Any
+
+from vetchford.lifecycle.counts import Counts
+
+
+class Actor:
+    """One thread and its mailbox. `tell` never blocks; an entry is one of its methods, with arguments."""
+
+    def __init__(self, name: str, counts: Counts) -> None:
+        self.name, self.counts = name, counts
+        self.mailbox: SimpleQueue[tuple[Callable[..., None], tuple[Any, ...]]] = SimpleQueue()
+        self.running = True
+
+    def tell(self, act: Callable[..., None], *given: Any) -> None:
+        self.mailbox.put((act, given))
+
+    def begin(self) -> None:
+        threading.Thread(target=self.run, name=self.name, daemon=True).start()
+
+    def run(self) -> None:
+        while self.running:
+            try:
+                act, given = self.mailbox.get(timeout=self.patience())
+                self.guarded(act, *given)
+            except Empty:
+                pass
+            self.guarded(self.idle)
+
+    def patience(self) -> float | None:
+        """Seconds until `idle` is due; None for never."""
+        return None
+
+    def idle(self) -> None:
+        """Called after each entry and whenever patience runs out."""
+
+    def guarded(self, act: Callable[..., None], *given: Any) -> None:
+        # One entry that goes wrong must not end the thread, and with it the server.
+        try:
+            act(*given)
+        except Exception as problem:
+            place = problem.__traceback__
+            while place and place.tb_next:
+                place = place.tb_next
+            self.counts.note(
+                "actor_error",
+                actor=self.name,
+                problem=type(problem).__name__,
+                text=str(problem)[:200],
+                line=place.tb_lineno if place else 0,
+                file=place.tb_frame.f_code.co_filename.rsplit("/", 1)[-1] if place else "",
+            )
+            if __debug__:
+                raise
--- /dev/null
+++ b/vetchford/lifecycle/configuration.py
@@ -0,0 +1,83 @@
+"""What a server is told: environment and configuration file, checked key by key."""
+
+import ipaddress
+import json
+import os
+from collections.abc import Mapping
+from typing import Any
+
+from vetchford import startup
+from vetchford.startup import MalformedError
+
+
+def address(told: Mapping[str, Any], key: str) -> tuple[str, int]:
+    host, _, port = str(told.get(key) or "").rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        if not 0 <= int(port) < 65536:
+            raise ValueError
+    except ValueError:
+        raise MalformedError(f"key '{key}' must be an address and a port") from None
+    return host, int(port)
+
+
+def number(told: Mapping[str, Any], key: str, least: float, where: str = "") -> float:
+    value = told.get(key)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < 1e12:
+        raise MalformedError(f"key '{where}{key}' must be a number of {least:g} or more")
+    return value
+
+
+class Silent:
+    """A host that does nothing, to try the settings with."""
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *given: None
+
+
+def load(environment: Mapping[str, str] = os.environ, path: str | None = None) -> dict[str, Any]:
+    """The configuration file with what the environment adds; MalformedError names the first key at fault."""
+    path = path or environment.get("ROUTER_CONFIG")
+    if not path:
+        raise MalformedError("ROUTER_CONFIG names no configuration file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except OSError as problem:
+        raise MalformedError(f"configuration file {path}: {problem.strerror}") from None
+    except ValueError as problem:
+        raise MalformedError(f"configuration file {path}: no JSON: {problem}") from None
+    if not isinstance(told, dict):
+        raise MalformedError(f"configuration file {path}: not an object")
+    for variable, key in (("ROUTER_NAME", "name"), ("ROUTER_LISTEN", "listen")):
+        if environment.get(variable):
+            told[key] = environment[variable]
+    check(told)
+    return told
+
+
+def check(told: dict[str, Any]) -> None:
+    name = told.get("name")
+    if not isinstance(name, str) or not name or not name.isprintable() or " " in name or not name.isascii():
+        raise MalformedError("key 'name' must be a word")
+    for key in ("listen", "pool", "members", "records"):
+        address(told, key)
+    try:
+        seed(told)
+    except (TypeError, ValueError):
+        raise MalformedError("key 'seed' must be a number in hex digits") from None
+    number(told, "stop_ms", 1)
+    if not isinstance(told.get("limits"), dict):
+        raise MalformedError("key 'limits' must be an object")
+    number(told["limits"], "sockets", 32, "limits.")
+    if not isinstance(told.get("settings"), dict):
+        raise MalformedError("key 'settings' must be an object")
+    try:
+        startup.indices(told["settings"])
+        startup.build(Silent(), seed(told), told["settings"], False)
+    except (TypeError, AttributeError, ValueError) as problem:
+        raise MalformedError(f"key 'settings' holds a value of the wrong kind: {problem}") from None
+
+
+def seed(told: Mapping[str, Any]) -> int:
+    return int(str(told.get("seed")), 16)
--- /dev/null
+++ b/vetchford/lifecycle/counts.py
@@ -0,0 +1,38 @@
+"""Counts by name, and what must hold: asserted in debug builds, counted and logged in release builds."""
+
+import threading
+from typing import Any
+
+import structlog
+
+log = structlog.get_logger()
+
+
+class Counts:
+    """Names are fixed by the code, so the table is bounded; several threads add to it."""
+
+    def __init__(self) -> None:
+        self.by_name: dict[str, int] = {}
+        self.lock = threading.Lock()
+
+    def add(self, name: str) -> int:
+        with self.lock:
+            count = self.by_name[name] = self.by_name.get(name, 0) + 1
+        return count
+
+    def note(self, event: str, **fields: Any) -> None:
+        """Counts what a peer can provoke, and logs the 1st, 2nd, 4th, 8th ... of it."""
+        count = self.add(event)
+        if count & (count - 1) == 0:
+            log.warning(event, count=count, **fields)
+
+    def log_summary(self, **fields: Any) -> None:
+        with self.lock:
+            counted = dict(sorted(self.by_name.items()))
+        log.info("summary", **fields, **counted)
+
+    def must(self, holds: bool, name: str, **fields: Any) -> bool:
+        assert holds, name
+        if not holds:
+            self.note("must_hold_broken", what=name, **fields)
+        return holds
--- /dev/null
+++ b/vetchford/lifecycle/server.py
@@ -0,0 +1,55 @@
+"""Start, signals and end of one server."""
+
+import gc
+import signal
+import threading
+from typing import Any
+
+import structlog
+
+from vetchford import startup
+from vetchford.lifecycle import configuration
+from vetchford.lifecycle.counts import Counts
+from vetchford.module import ModuleActor
+from vetchford.wire.balancers import Doors
+from vetchford.wire.members import Members
+from vetchford.wire.pool import Pool
+from vetchford.wire.records import Records
+
+log = structlog.get_logger()
+
+STACK = 256 * 1024  # bytes a thread; no call here nests deeply, and untouched pages cost nothing
+SIGNALS = {signal.SIGTERM, signal.SIGINT}
+
+
+def serve(told: dict[str, Any]) -> int:
+    """Runs until a signal asks it to leave and all is answered."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # taken by `sigwait` below, in no other thread
+    threading.stack_size(STACK)
+    counts = Counts()
+    module = ModuleActor(configuration.seed(told), told["settings"], counts)
+    pool = Pool(configuration.address(told, "pool"), module, counts)
+    records = Records(configuration.address(told, "records"), module, counts)
+    members = Members(configuration.address(told, "members"), told["name"], counts)
+    stages, tenants, _ = startup.indices(told["settings"])
+    try:
+        doors = Doors(
+            configuration.address(told, "listen"), told["limits"]["sockets"], stages, tenants, module, counts
+        )
+    except OSError as problem:
+        log.error("cannot_listen", address=told["listen"], problem=problem.strerror)
+        return 1
+    stopped = threading.Event()
+    module.attach(pool, records, members, doors, stopped.set)
+    gc.collect()
+    gc.freeze()
+    for part in (module, members, records, pool, doors):
+        part.begin()
+    log.info("serving", name=told["name"], listen=told["listen"])
+    caught = signal.sigwait(SIGNALS)
+    log.info("signal", number=int(caught))
+    grace = (told["settings"].get("rules") or {}).get("drainGrace") or 0
+    module.tell(module.notice, float(told["stop_ms"]), grace / startup.NS_PER_MS)
+    stopped.wait(told["stop_ms"] / 1000.0)
+    log.info("stopped")
+    return 0
--- /dev/null
+++ b/vetchford/module.py
@@ -0,0 +1,377 @@
+"""The module's actor: the host that the decisions act through on sockets.
+
+It alone touches the `Node`, the tasks and the fingerprints. Peers tell it what happened (one method each); it
+calls the node, and the node calls back for what is to be done. Nothing here blocks on a socket.
+"""
+
+import heapq
+import math
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from vetchford import rules, startup
+from vetchford.lifecycle.actor import Actor
+from vetchford.lifecycle.counts import Counts
+from vetchford.memory.fingerprints import Fingerprints
+from vetchford.memory.tasks import Slot, Tasks
+from vetchford.wire import jsonrpc, poollines
+
+log = structlog.get_logger()
+
+POLL_AHEAD = 6.0  # ms before a wake: the gauges come back in under one, a busy machine takes a few
+TIMERS_A_TURN = 64  # fired before the mailbox is looked at again
+SUMMARY = 10_000.0  # ms between summary lines
+UNKNOWN = -1  # a repeat of something that is not known any more
+
+
+class ModuleActor(Actor):
+    def __init__(self, seed: int, told: dict[str, Any], counts: Counts) -> None:
+        super().__init__("module", counts)
+        self.seed, self.told = seed, told
+        self.fingerprinted = [
+            entry.get("effect") == "idempotency_key" for entry in told.get("requestClasses") or []
+        ]
+        self.gauge_places = startup.indices(told)[2]
+        self.tasks, self.prints = Tasks(), Fingerprints()
+        self.marks: dict[int, str] = {}  # fingerprints of tasks; emptied by `release`
+        self.calls: dict[int, int] = {}  # tasks by the number of their call; emptied as calls end or are cut
+        self.begun: dict[int, float] = {}  # when they went out; emptied alike
+        self.call_count = 0
+        self.timers: list[
+            tuple[float, int, Callable[..., None], tuple[Any, ...]]
+        ] = []  # emptied as they fire
+        self.timer_count = 0
+        self.later: deque[tuple[Callable[..., None], tuple[Any, ...]]] = (
+            deque()
+        )  # until the node's method returns
+        self.node: rules.Node | None = None
+        self.origin = 0.0  # Unix ms that the node's clock starts at
+        self.link, self.ready = 0, False  # the pool's link; whether its replay was read
+        self.polls, self.polled_last = 0, 0
+        self.gauges: list[float] = []
+        self.idle_for = math.inf
+        self.kill, self.leave_at = math.inf, math.inf
+        self.stopped = False
+
+    def attach(self, pool: Any, records: Any, members: Any, doors: Any, stopped: Callable[[], None]) -> None:
+        self.pool, self.records, self.members, self.doors, self.when_stopped = (
+            pool,
+            records,
+            members,
+            doors,
+            stopped,
+        )
+
+    # -- the clock and its timers
+
+    def now(self) -> float:
+        return time.time() * 1000.0 - self.origin
+
+    def at(self, when: float, act: Callable[..., None], *given: Any) -> None:
+        """`when` in Unix ms."""
+        self.timer_count += 1
+        heapq.heappush(self.timers, (when, self.timer_count, act, given))
+
+    def patience(self) -> float | None:
+        return max(0.0, self.timers[0][0] / 1000.0 - time.time()) if self.timers else None
+
+    def idle(self) -> None:
+        for _ in range(TIMERS_A_TURN):
+            if not self.timers or self.timers[0][0] > time.time() * 1000.0:
+                return
+            _, _, act, given = heapq.heappop(self.timers)
+            self.guarded(act, *given)
+
+    def guarded(self, act: Callable[..., None], *given: Any) -> None:
+        super().guarded(act, *given)
+        while self.later:
+            later, its = self.later.popleft()
+            super().guarded(later, *its)
+
+    # -- what can happen
+
+    def request(
+        self,
+        caller: Any,
+        rpc_id: int,
+        name: str,
+        stage: int,
+        kind: str,
+        tenant: int,
+        lb: int,
+        door: float,
+        limit: float | None,
+        work: float | None,
+        kb: float,
+        mark: str | None,
+        content: str,
+    ) -> None:
+        if self.node is None:  # the pool is not up: it never ran
+            caller.answer(rpc_id, jsonrpc.rejected(rpc_id, False, 0.0))
+            return
+        if name in self.tasks.by_name:
+            self.counts.note(
+                "balancer_bad_message", code=jsonrpc.INVALID_PARAMS, problem="field 'txn' is in use"
+            )
+            caller.answer(rpc_id, jsonrpc.error(rpc_id, jsonrpc.INVALID_PARAMS, "field 'txn' is in use"))
+            return
+        now, arrived = self.now(), door - self.origin
+        until = None if limit is None else arrived + limit
+        q = self.tasks.add(Slot(name, kind, caller, rpc_id, content, until or arrived))
+        original = None
+        if mark is not None and self.fingerprinted[stage]:
+            original = self.prints.find(mark, door)
+            self.marks[q] = mark
+            if original is not None:
+                self.tasks[q].waits_for = original
+        self.counts.add("read")
+        self.node.arrived(
+            now,
+            q,
+            stage,
+            tenant,
+            lb,
+            until,
+            work,
+            max(1, round(kb * startup.BYTES_PER_KB)),
+            False,
+            max(0.0, now - arrived),
+            original,
+        )
+
+    def caller_gone(self, caller: Any) -> None:
+        for q in [q for q, slot in enumerate(self.tasks.slots) if slot and slot.caller is caller]:
+            slot = self.tasks.slots[q]
+            if slot is not None and not slot.answered:
+                slot.answered = True
+                self.counts.add("callers_gone")
+                self.node.gone(self.now(), q)
+
+    def bound(self, link: int, cold: bool, ago: float) -> None:
+        self.link, self.ready = link, False
+        if self.node is None:
+            self.origin = time.time() * 1000.0 - ago
+            self.node = startup.build(self, self.seed, self.told, cold)
+            log.info("pool_bound", cold=cold, started_ms_ago=round(ago))
+            self.at(time.time() * 1000.0 + SUMMARY, self.summarise)
+        self.poll()  # what is read before its answer is the replay
+
+    def pool_lost(self) -> None:
+        self.ready = False
+
+    def polled(self, ref: str, gauges: list[float]) -> None:
+        link, _, number = ref.partition("-")
+        if link != str(self.link) or not number.isdigit():
+            return
+        self.polled_last, self.gauges = int(number), gauges
+        if not self.ready:
+            self.ready = True
+            self.send_again()
+
+    def send_again(self) -> None:
+        """After a replay: what may not have arrived, and has not been answered by a notice."""
+        for slot in self.tasks.slots:
+            if slot is not None and slot.command is not None and slot.commanded != (self.link, 0):
+                self.counts.add("commands_sent_again")
+                self.command(slot, slot.command)
+
+    def run_blocked(self, name: str, notice: int, body: bytes) -> None:
+        q = self.tasks.by_name.get(name)
+        if q is None:
+            self.counts.note("pool_unknown_task", task=name[:64])
+            return
+        slot = self.tasks[q]
+        slot.command, slot.need = None, (notice, body)
+        self.node.stalled_on_call(self.now(), q)
+
+    def call_ended(self, number: int, code: str, reply: bytes) -> None:
+        q = self.calls.pop(number, None)
+        if q is None:
+            self.counts.add("calls_late")
+            return
+        slot, took = self.tasks[q], self.now() - self.begun.pop(number)
+        slot.call = 0
+        self.counts.add("calls_" + code)
+        if code == "completed":
+            self.command(slot, poollines.supply(slot.name, reply))
+        self.node.call_returned(self.now(), q, code, took)
+
+    def call_cut(self, number: int) -> None:
+        q = self.calls.get(number)
+        if q is not None:
+            self.records.tell(self.records.unop, self.tasks[q].name, number)
+            self.call_ended(number, "overdue", b"")
+
+    def run_ended(self, name: str, code: str, took: float, content: str) -> None:
+        q = self.tasks.by_name.get(name)
+        if q is None:
+            self.counts.note("pool_unknown_task", task=name[:64])
+            return
+        slot = self.tasks[q]
+        slot.command = None
+        if slot.call:
+            self.records.tell(self.records.unop, name, slot.call)
+            del self.calls[slot.call], self.begun[slot.call]
+            slot.call = 0
+        self.finish(q, code, content)
+        followers = self.prints.end(q, code == "completed", content)
+        self.node.ended(self.now(), q, code, took)
+        for follower in followers:
+            self.share_ended(follower, code == "completed", content)
+
+    def share_ended(self, q: int, completed: bool, content: str) -> None:
+        slot = self.tasks.slots[q]
+        if slot is None or slot.answered:
+            return
+        self.finish(q, "completed" if completed else "errored", content)
+        self.node.ended(self.now(), q, "completed" if completed else "errored", 0.0)
+
+    def finish(self, q: int, code: str, content: str) -> None:
+        slot = self.tasks[q]
+        if slot.answered:
+            self.counts.add("runs_unwanted")
+        elif code == "completed":
+            self.answer(slot, jsonrpc.finished(slot.rpc_id, content), "finished")
+        else:
+            self.answer(slot, jsonrpc.abandoned(slot.rpc_id), "abandoned")
+
+    def sweep(self) -> None:
+        places = self.gauge_places
+
+        def gauge(name: str) -> float | None:
+            at = places.get(name, len(self.gauges))
+            return self.gauges[at] if at < len(self.gauges) else None
+
+        self.node.woke(self.now(), gauge("core_use"), gauge("on_cores"))
+        if self.idle_for < math.inf:
+            self.doors.close_idle(self.idle_for)
+        if self.leave_at < math.inf:
+            self.leave_step()
+
+    # -- drain
+
+    def notice(self, stop_ms: float, grace: float) -> None:
+        log.info("drain_begins", stop_ms=stop_ms, open=self.open_tasks())
+        now = time.time() * 1000.0
+        self.kill, self.leave_at = now + stop_ms, now + min(grace, 0.6 * stop_ms)
+        if self.node is None:
+            self.end()
+            return
+        self.node.leaving(self.now(), self.kill - self.origin)
+
+    def leave_step(self) -> None:
+        """Past the grace nothing new is taken; once all is answered and written, the end."""
+        now = time.time() * 1000.0
+        if now >= self.leave_at:
+            self.doors.close()
+            if not self.open_tasks() and not self.doors.unanswered():
+                self.end()
+            elif now > self.kill - 30.0:  # ms: what is not written by now will not be
+                self.counts.must(not self.open_tasks(), "answered_before_the_stop")
+                self.end()
+
+    def end(self) -> None:
+        if not self.stopped:
+            self.stopped = True
+            self.summarise()
+            self.when_stopped()
+
+    def open_tasks(self) -> int:
+        return sum(slot is not None and not slot.answered for slot in self.tasks.slots)
+
+    def summarise(self) -> None:
+        self.counts.log_summary(
+            open=self.open_tasks(), connections=len(self.doors.connections), known=len(self.tasks.by_name)
+        )
+        self.at(time.time() * 1000.0 + SUMMARY, self.summarise)
+
+    # -- the host
+
+    def answer(self, slot: Slot, parts: list[bytes], outcome: str) -> None:
+        if self.counts.must(not slot.answered, "one_answer", task=slot.name):
+            slot.answered = True
+            self.counts.add(outcome)
+            slot.caller.answer(slot.rpc_id, parts)
+
+    def command(self, slot: Slot, parts: list[bytes]) -> None:
+        slot.command, slot.commanded = parts, (self.link, self.polls)
+        if self.ready:
+            self.pool.tell(self.pool.send, self.link, parts)
+
+    def poll(self) -> None:
+        self.polls += 1
+        self.pool.tell(self.pool.send, self.link, poollines.poll(f"{self.link}-{self.polls}"))
+
+    def start(self, q: int) -> None:
+        slot = self.tasks[q]
+        self.command(slot, poollines.spawn(slot.name, slot.kind, slot.content))
+
+    def stop(self, q: int) -> None:
+        """The protocol has no command for it where the settings say that work can't be stopped."""
+        self.counts.must(False, "no_stop_on_this_protocol")
+
+    def reject(self, q: int, terminal: bool, pause: float) -> None:
+        slot = self.tasks[q]
+        self.answer(slot, jsonrpc.rejected(slot.rpc_id, terminal, pause), "rejected")
+
+    def abandon(self, q: int) -> None:
+        slot = self.tasks[q]
+        self.answer(slot, jsonrpc.abandoned(slot.rpc_id), "abandoned")
+
+    def share(self, q: int) -> None:
+        first = self.tasks[q].waits_for
+        if first in self.prints.results:
+            self.later.append((self.share_ended, (q, *self.prints.results[first])))
+        else:
+            self.prints.wait(first, q)
+
+    def call(self, q: int, cut_at: float) -> None:
+        slot = self.tasks[q]
+        self.call_count += 1
+        slot.call = self.call_count
+        self.calls[slot.call], self.begun[slot.call] = q, self.now()
+        until = self.origin + cut_at
+        self.records.tell(self.records.op, slot.name, slot.call, until, slot.need[1])
+        self.at(until, self.call_cut, slot.call)
+
+    def skip(self, q: int) -> None:
+        slot = self.tasks[q]
+        self.command(slot, poollines.skip(slot.name, slot.need[0]))
+
+    def remember(self, q: int, keep_for: float) -> None:
+        mark = self.marks.get(q)
+        if mark is not None:
+            self.prints.keep(mark, q, math.ceil(self.origin + self.now() + keep_for))
+
+    def forget(self, q: int) -> None:
+        self.prints.drop(q)
+
+    def release(self, q: int) -> None:
+        slot = self.tasks[q]
+        self.counts.must(slot.answered, "released_after_its_answer", task=slot.name)
+        self.marks.pop(q, None)
+        if slot.waits_for >= 0:
+            self.prints.leave(slot.waits_for, q)
+        for follower in self.prints.release(q):
+            self.later.append((self.share_ended, (follower, False, "")))
+        self.tasks.release(q)
+
+    def fitness(self, good: bool) -> None:
+        self.doors.fit = good
+        self.members.tell(self.members.judge, good)
+        log.info("fitness", good=good)
+
+    def stamp(self, value: float) -> None:
+        """The protocol has no place for a free value."""
+
+    def keep_idle(self, keep_for: float) -> None:
+        self.idle_for = keep_for
+
+    def wake(self, delay: float) -> None:
+        when = time.time() * 1000.0 + delay
+        self.at(when - POLL_AHEAD, self.poll)
+        self.at(when, self.sweep)
--- /dev/null
+++ b/vetchford/startup.py
@@ -0,0 +1,108 @@
+"""Builds a `Node` from the settings a server is told, for the bench's adapter and for the server alike."""
+
+import math
+from typing import Any
+
+from vetchford import rules
+from vetchford.host import Host
+
+NS_PER_MS = 1_000_000
+BYTES_PER_KB = 1024
+EFFECTS = {
+    "read_like": rules.RESTARTABLE,
+    "idempotency_key": rules.FINGERPRINTED,
+    "non_idempotent": rules.SIDE_EFFECTING,
+}
+
+
+class MalformedError(Exception):
+    """Input that is not what its page says; names the field."""
+
+
+def indices(told: dict[str, Any]) -> tuple[dict[str, int], dict[str, int], dict[str, int]]:
+    """The small index of each stage, tenant and gauge by its name on the wire."""
+    stages, tenants = told.get("requestClasses") or [], told.get("customers") or []
+    gauges = (told.get("familyInfo") or {}).get("ownStats") or []
+    return (
+        {entry.get("name") or "": at for at, entry in enumerate(stages)},
+        {entry.get("name") or "": at for at, entry in enumerate(tenants)},
+        {name: at for at, name in enumerate(gauges)},
+    )
+
+
+def build(host: Host, seed: int, told: dict[str, Any], cold: bool) -> rules.Node:
+    """The module's parts, each from its own few settings; `cold`: its speed still rises from the start."""
+    info = told.get("familyInfo") or {}
+    limits = told.get("rules") or {}
+    goal = told.get("goal") or {}
+    rest = ((goal.get("whole") or 0.0) + (goal.get("worstWindow") or 0.0)) or 1.0
+    caps = told.get("caps") or {}
+    cores = info.get("cores") or 0
+    if cores < 1:
+        raise MalformedError("settings key 'familyInfo.cores' must be 1 or more")
+    classes = told.get("requestClasses") or []
+    if not classes:
+        raise MalformedError("settings key 'requestClasses' names no stage")
+    skips = info.get("classSkipWorth") or []
+    stages = []
+    for at, entry in enumerate(classes):
+        if entry.get("effect") not in EFFECTS:
+            raise MalformedError(f"settings key 'requestClasses[{at}].effect' is none that is known")
+        if not entry.get("deadline"):
+            raise MalformedError(f"settings key 'requestClasses[{at}].deadline' must be above 0")
+        limit = entry["deadline"] / NS_PER_MS
+        stages.append(
+            rules.Stage(
+                due=(entry.get("promise") or entry["deadline"]) / NS_PER_MS,
+                limit=limit,
+                utility=entry.get("worth") or 0.0,
+                late_utility=entry.get("lateWorth") or 0.0,
+                effect=EFFECTS[entry["effect"]],
+                window=(entry.get("window") or 0) / NS_PER_MS,
+                skip_utility=skips[at] if at < len(skips) else 0.0,
+            )
+        )
+    customers = told.get("customers") or []
+    below = info.get("below") or "silent"
+    bound = None
+    if below != "silent":
+        bound = rules.CallBound(
+            share=info.get("depShare") if below == "shared" else None,
+            over=(info.get("callsOver") or 0) / NS_PER_MS,
+            linger=(info.get("linger") or 0) / NS_PER_MS,
+            cores=cores,
+        )
+    tenants = rules.TenantShare(
+        quotas=[(entry.get("quotaPerS") or 0.0) / 1000.0 for entry in customers],
+        servers=told.get("servers") or 1,
+        over_utility=told.get("overShareWorth") or 0.0,
+    )
+    pauses = (caps.get("maxRetryAfter") or 0) / NS_PER_MS if caps.get("retryAfter") else 0.0
+    return rules.Node(
+        host=host,
+        stages=stages,
+        cores=cores,
+        survives=limits.get("fallMultiple") or 1.0,
+        cold_from=limits.get("coldFrom") or 1.0,
+        ramp=(limits.get("rampTime") or 0) / NS_PER_MS if cold else 0.0,
+        counters=rules.ByteCounters(
+            memory=(info.get("ramKb") or math.inf) * BYTES_PER_KB,
+            multiple=info.get("blowup") or 1.0,
+            entry=(info.get("keyKb") or 0.0) * BYTES_PER_KB,
+        ),
+        calls=bound,
+        tenants=tenants,
+        advice=rules.Advice(
+            host=host,
+            seed=seed,
+            say=info.get("say") or "silent",
+            longest=pauses,
+            callers=info.get("callers") or 1,
+            cores=cores,
+            idle=(info.get("callerIdle") or 0) / NS_PER_MS,
+        ),
+        by_work=told.get("valueBy") == "work",
+        can_stop=info.get("halt") in ("drop", "pause"),
+        worst_weight=(goal.get("worstClass") or 0.0) / rest,
+        grace=(limits.get("drainGrace") or 0) / NS_PER_MS,
+    )
--- /dev/null
+++ b/vetchford/wire/inbox.py
@@ -0,0 +1,42 @@
+"""The bytes of one connection that were read and not yet understood; parsed where they lie."""
+
+
+class UnfollowableError(Exception):
+    """The stream can't be followed any further; says why."""
+
+
+class Inbox:
+    """A buffer of fixed size: `space` to read into, `start` to `end` the bytes that wait."""
+
+    def __init__(self, size: int) -> None:
+        self.bytes = bytearray(size)
+        self.view = memoryview(self.bytes)
+        self.start = self.end = 0
+
+    def space(self) -> memoryview:
+        """Where the next bytes go; never empty while a message of less than the size is taken out in time."""
+        if self.start == self.end:
+            self.start = self.end = 0
+        elif self.start and self.end == len(self.bytes):
+            kept = self.end - self.start
+            self.bytes[:kept] = self.bytes[self.start : self.end]
+            self.start, self.end = 0, kept
+        if self.end == len(self.bytes):
+            raise UnfollowableError("a message is longer than it may be")
+        return self.view[self.end :]
+
+    def fed(self, count: int) -> None:
+        self.end += count
+
+    def find(self, mark: bytes, most: int) -> int:
+        """Where `mark` starts, within `most` bytes from the start; -1 while it is not there yet."""
+        at = self.bytes.find(mark, self.start, min(self.end, self.start + most + len(mark)))
+        if at < 0 and self.end - self.start >= most + len(mark):
+            raise UnfollowableError("a head or line is longer than it may be")
+        return at
+
+    def take(self, until: int, drop: int = 0) -> memoryview:
+        """The bytes up to `until`, in place, good until the next `space`; `drop` more are passed over."""
+        taken = self.view[self.start : until]
+        self.start = until + drop
+        return taken
--- /dev/null
+++ b/vetchford/wire/members.py
@@ -0,0 +1,35 @@
+"""The membership service: reports often enough that a lost datagram or two takes no server off the list."""
+
+import socket
+import time
+
+from vetchford.lifecycle.actor import Actor
+from vetchford.lifecycle.counts import Counts
+from vetchford.wire import heartbeat
+
+EVERY = 0.5  # s; an entry lapses 3 s after its last report
+
+
+class Members(Actor):
+    def __init__(self, address: tuple[str, int], name: str, counts: Counts) -> None:
+        super().__init__("members", counts)
+        self.address, self.server = address, name
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.fit: bool | None = None  # nothing is reported before it is known
+        self.next = 0.0
+
+    def judge(self, fit: bool) -> None:
+        self.fit, self.next = fit, 0.0
+
+    def patience(self) -> float | None:
+        return None if self.fit is None else max(0.0, self.next - time.monotonic())
+
+    def idle(self) -> None:
+        now = time.monotonic()
+        if self.fit is None or now < self.next:
+            return
+        self.next = now + EVERY
+        try:
+            self.sock.sendto(heartbeat.report(self.server, self.fit), self.address)
+        except OSError as problem:  # the service may be down; the next report tells it
+            self.counts.note("members_unreachable", problem=str(problem))
--- /dev/null
+++ b/vetchford/wire/pool.py
@@ -0,0 +1,98 @@
+"""The link to the worker pool, opened anew whenever it is lost."""
+
+import socket
+import threading
+import time
+from typing import Any
+
+from vetchford.lifecycle.actor import Actor
+from vetchford.lifecycle.counts import Counts
+from vetchford.wire import poollines
+from vetchford.wire.inbox import Inbox, UnfollowableError
+from vetchford.wire.sockets import send_parts, shut
+
+AGAIN = 0.02  # s between attempts; runs go on meanwhile, and the pool is on the same machine
+AGAIN_MOST = 0.5  # s: while nobody is there
+CONNECT = 2.0  # s
+
+
+class Pool(Actor):
+    """Writes commands of the link that is open; a thread of its own opens links and reads notices."""
+
+    def __init__(self, address: tuple[str, int], module: Any, counts: Counts) -> None:
+        super().__init__("pool", counts)
+        self.address, self.module = address, module
+        self.last = 0  # number of the last notice read
+        self.link, self.sock = 0, None
+
+    def begin(self) -> None:
+        super().begin()
+        threading.Thread(target=self.keep_link, name="pool-reader", daemon=True).start()
+
+    def send(self, link: int, parts: list[bytes]) -> None:
+        sock = self.sock
+        if sock is None or link != self.link:
+            return  # the module sends it again on the next link where it still matters
+        try:
+            send_parts(sock, parts)
+        except OSError as problem:
+            self.counts.note("pool_write_failed", problem=str(problem))
+            shut(sock)
+
+    def keep_link(self) -> None:
+        pause = AGAIN
+        while True:
+            try:
+                sock = socket.create_connection(self.address, CONNECT)
+            except OSError as problem:
+                self.counts.note("pool_refused", problem=str(problem))
+                time.sleep(pause)
+                pause = min(AGAIN_MOST, 2.0 * pause)
+                continue
+            pause, why = AGAIN, "closed"
+            try:
+                sock.settimeout(None)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                send_parts(sock, poollines.bind(self.last))
+                self.link, self.sock = self.link + 1, sock
+                self.read(sock)
+            except (OSError, UnfollowableError) as problem:
+                why = f"{type(problem).__name__}: {problem}"
+            self.sock = None
+            sock.close()
+            self.counts.note("pool_link_lost", why=why, last=self.last)
+            self.module.tell(self.module.pool_lost)
+            time.sleep(pause)
+
+    def read(self, sock: socket.socket) -> None:
+        inbox = Inbox(2 * poollines.MOST_LINE)
+        while count := sock.recv_into(inbox.space()):
+            inbox.fed(count)
+            while (line := poollines.next_line(inbox)) is not None:
+                try:
+                    self.take(*poollines.decode(line))
+                except poollines.BadLineError as problem:
+                    self.counts.note("pool_bad_line", problem=str(problem))
+
+    def take(self, name: str, message: dict) -> None:
+        module, number = self.module, message.get("n")
+        if isinstance(number, int) and name in ("finished", "blocked", "chatter"):
+            if number <= self.last:
+                self.counts.add("pool_notices_again")
+                return
+            if number != self.last + 1:
+                self.counts.note("pool_notices_missed", after=self.last, number=number)
+            self.last = number
+        if name == "finished":
+            module.tell(module.run_ended, *poollines.finished_fields(message))
+        elif name == "blocked":
+            module.tell(module.run_blocked, *poollines.blocked_fields(message))
+        elif name == "polled":
+            module.tell(module.polled, *poollines.polled_fields(message))
+        elif name == "bound":
+            module.tell(module.bound, self.link, *poollines.bound_fields(message))
+        elif name == "unknown":
+            command, task = str(message.get("state"))[:20], str(message.get("job"))[:64]
+            self.counts.note("pool_unknown", command=command, task=task)
+        elif name != "chatter":
+            self.counts.note("pool_bad_line", problem="field 'type' names no message")
--- /dev/null
+++ b/vetchford/wire/poollines.py
@@ -0,0 +1,99 @@
+"""The worker pool's lines: parser and writer, free of sockets."""
+
+import base64
+import binascii
+import json
+from typing import Any
+
+from vetchford.wire.inbox import Inbox
+
+MOST_LINE = 65_536  # bytes; results of 4 KiB are 5.5 KB in base64, calls are not bounded by the page
+MOST_NESTED = 32  # brackets in a line; the reader's stack is small
+
+ENDS = {"complete": "completed", "error": "errored", "cancelled": "recalled", "unknown": "superseded"}
+
+
+class BadLineError(Exception):
+    """A line that can't be read; says why."""
+
+
+def next_line(inbox: Inbox) -> memoryview | None:
+    ends = inbox.find(b"\n", MOST_LINE)
+    return None if ends < 0 else inbox.take(ends, 1)
+
+
+def decode(line: memoryview | bytes) -> tuple[str, dict[str, Any]]:
+    """The name of a message, and its fields."""
+    try:
+        text = str(line, "utf-8")
+        if text.count("[") + text.count("{") > MOST_NESTED:
+            raise ValueError("nested too deep")
+        message = json.loads(text)
+    except (ValueError, RecursionError) as problem:
+        raise BadLineError(f"no JSON: {type(problem).__name__}") from None
+    if not isinstance(message, dict) or not isinstance(message.get("type"), str):
+        raise BadLineError("no object with a type")
+    return message["type"], message
+
+
+def field(message: dict[str, Any], key: str, kinds: type | tuple[type, ...]) -> Any:
+    value = message.get(key)
+    if not isinstance(value, kinds) or isinstance(value, bool):
+        raise BadLineError(f"field '{key}' is missing or of the wrong kind")
+    return value
+
+
+def finished_fields(message: dict[str, Any]) -> tuple[str, str, float, str]:
+    """Id, outcome in the module's words, time taken in ms, result in base64."""
+    state = field(message, "state", str)
+    if state not in ENDS:
+        raise BadLineError("field 'state' is no end of a run")
+    data = message.get("data")
+    if state == "complete" and not isinstance(data, str):
+        raise BadLineError("field 'data' is missing")
+    return field(message, "job", str), ENDS[state], float(field(message, "took", (int, float))), data or ""
+
+
+def blocked_fields(message: dict[str, Any]) -> tuple[str, int, bytes]:
+    """Id, number of the notice, body of the call."""
+    try:
+        body = base64.b64decode(message.get("data") or "", validate=True)
+    except (ValueError, TypeError, binascii.Error):
+        raise BadLineError("field 'data' is no base64") from None
+    return field(message, "job", str), field(message, "n", int), body
+
+
+def polled_fields(message: dict[str, Any]) -> tuple[str, list[float]]:
+    gauges = field(message, "gauges", list)
+    if not all(isinstance(value, int | float) for value in gauges):
+        raise BadLineError("field 'gauges' holds something that is no number")
+    return field(message, "ref", str), gauges
+
+
+def bound_fields(message: dict[str, Any]) -> tuple[bool, float]:
+    """Whether it started cold, and how long ago in ms."""
+    return field(message, "state", str) == "chilly", float(field(message, "took", (int, float)))
+
+
+def bind(last: int) -> list[bytes]:
+    return [b'{"type":"bind","n":%d}\n' % last]
+
+
+def spawn(job: str, kind: str, data: str) -> list[bytes]:
+    return [
+        b'{"type":"spawn","job":"%b","kind":%b,"data":"' % (job.encode(), json.dumps(kind).encode()),
+        data.encode(),
+        b'"}\n',
+    ]
+
+
+def supply(job: str, reply: bytes) -> list[bytes]:
+    return [b'{"type":"supply","job":"%b","data":"' % job.encode(), base64.b64encode(reply), b'"}\n']
+
+
+def skip(job: str, notice: int) -> list[bytes]:
+    return [b'{"type":"pass","job":"%b","n":%d}\n' % (job.encode(), notice)]
+
+
+def poll(ref: str) -> list[bytes]:
+    return [b'{"type":"poll","ref":"%b"}\n' % ref.encode()]
