--- a/vetchford/lifecycle/server.py
+++ b/vetchford/lifecycle/server.py
@@ -45,7 +45,7 @@
     gc.freeze()
     for part in (module, members, records, pool, doors):
         part.begin()
-    log.info("serving", name=told["name"], listen=told["listen"])
+    log.info("serving", name=told["name"], listen=":".join(map(str, doors.sock.getsockname())))
     caught = signal.sigwait(SIGNALS)
     log.info("signal", number=int(caught))
     grace = (told["settings"].get("rules") or {}).get("drainGrace") or 0
--- a/vetchford/memory/tasks.py
+++ b/vetchford/memory/tasks.py
@@ -18,12 +18,10 @@
         "need",
         "rpc_id",
         "waits_for",
-        "until",
     )
 
-    def __init__(self, name: str, kind: str, caller: Any, rpc_id: int, content: str, until: float) -> None:
+    def __init__(self, name: str, kind: str, caller: Any, rpc_id: int, content: str) -> None:
         self.name, self.kind, self.caller, self.rpc_id, self.content = name, kind, caller, rpc_id, content
-        self.until = until  # ms: when its answer is due at the latest
         self.answered = False
         self.command: list[bytes] | None = None  # to the pool, which may not have arrived yet
         self.commanded: tuple[int, int] = (0, 0)  # link and poll that it was sent before
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -23,9 +23,12 @@
 log = structlog.get_logger()
 
 POLL_AHEAD = 6.0  # ms before a wake: the gauges come back in under one, a busy machine takes a few
+MOST_BEHIND = 64  # entries in the pool's mailbox: far more than a sweep brings
 TIMERS_A_TURN = 64  # fired before the mailbox is looked at again
+EXIT_TAKES = 120.0  # ms: from the last answers to the sweep that sees them written, and the exit itself
+LEAVE_BEFORE = 40.0  # ms before the kill: what is not written by then will not be
 SUMMARY = 10_000.0  # ms between summary lines
-UNKNOWN = -1  # a repeat of something that is not known any more
+RUNS, BEGUN = (rules.RUNNING,), (rules.RUNNING, rules.PARKED, rules.CALLING)
 
 
 class ModuleActor(Actor):
@@ -51,7 +54,7 @@
         self.node: rules.Node | None = None
         self.origin = 0.0  # Unix ms that the node's clock starts at
         self.link, self.ready = 0, False  # the pool's link; whether its replay was read
-        self.polls, self.polled_last = 0, 0
+        self.polls, self.confirmed = 0, (0, 0)  # sent; link and number of the last that was answered
         self.gauges: list[float] = []
         self.idle_for = math.inf
         self.kill, self.leave_at = math.inf, math.inf
@@ -121,7 +124,7 @@
             return
         now, arrived = self.now(), door - self.origin
         until = None if limit is None else arrived + limit
-        q = self.tasks.add(Slot(name, kind, caller, rpc_id, content, until or arrived))
+        q = self.tasks.add(Slot(name, kind, caller, rpc_id, content))
         original = None
         if mark is not None and self.fingerprinted[stage]:
             original = self.prints.find(mark, door)
@@ -167,22 +170,41 @@
         link, _, number = ref.partition("-")
         if link != str(self.link) or not number.isdigit():
             return
-        self.polled_last, self.gauges = int(number), gauges
-        if not self.ready:
+        self.gauges = gauges
+        if not self.ready:  # the first answer on a link comes behind the replay
             self.ready = True
             self.send_again()
+        self.confirmed = (self.link, int(number))
 
     def send_again(self) -> None:
-        """After a replay: what may not have arrived, and has not been answered by a notice."""
+        """What may not have arrived on the last link, and is answered by no notice.
+
+        An answered poll proves that all before it arrived. A reply sent twice would pass for a later call's.
+        """
         for slot in self.tasks.slots:
-            if slot is not None and slot.command is not None and slot.commanded != (self.link, 0):
+            if slot is None or slot.command is None:
+                continue
+            link, polls = slot.commanded
+            if link != self.confirmed[0] or polls >= self.confirmed[1]:
                 self.counts.add("commands_sent_again")
                 self.command(slot, slot.command)
 
-    def run_blocked(self, name: str, notice: int, body: bytes) -> None:
+    def known(self, name: str, states: tuple[int, ...]) -> int | None:
+        """The task of a notice; none where it can't be about its run: that is counted and changes nothing."""
         q = self.tasks.by_name.get(name)
+        if q is None or q not in self.node.tasks or self.node.tasks[q].state not in states:
+            self.counts.note("pool_odd_notice", task=name[:64], known=q is not None)
+            return None
+        return q
+
+    def command_unknown(self, command: str, name: str) -> None:
+        self.counts.note("pool_unknown", command=command, task=name)
+        if command == "spawn" and name in self.tasks.by_name:  # no end of this run will ever be told
+            self.run_ended(name, "superseded", 0.0, "")
+
+    def run_blocked(self, name: str, notice: int, body: bytes) -> None:
+        q = self.known(name, RUNS)
         if q is None:
-            self.counts.note("pool_unknown_task", task=name[:64])
             return
         slot = self.tasks[q]
         slot.command, slot.need = None, (notice, body)
@@ -207,9 +229,8 @@
             self.call_ended(number, "overdue", b"")
 
     def run_ended(self, name: str, code: str, took: float, content: str) -> None:
-        q = self.tasks.by_name.get(name)
+        q = self.known(name, BEGUN)
         if q is None:
-            self.counts.note("pool_unknown_task", task=name[:64])
             return
         slot = self.tasks[q]
         slot.command = None
@@ -261,16 +282,14 @@
         if self.node is None:
             self.end()
             return
-        self.node.leaving(self.now(), self.kill - self.origin)
+        self.node.leaving(self.now(), self.kill - self.origin - EXIT_TAKES)
 
     def leave_step(self) -> None:
         """Past the grace nothing new is taken; once all is answered and written, the end."""
         now = time.time() * 1000.0
         if now >= self.leave_at:
             self.doors.close()
-            if not self.open_tasks() and not self.doors.unanswered():
-                self.end()
-            elif now > self.kill - 30.0:  # ms: what is not written by now will not be
+            if self.doors.done() and not self.open_tasks() or now > self.kill - LEAVE_BEFORE:
                 self.counts.must(not self.open_tasks(), "answered_before_the_stop")
                 self.end()
 
@@ -298,11 +317,14 @@
             slot.caller.answer(slot.rpc_id, parts)
 
     def command(self, slot: Slot, parts: list[bytes]) -> None:
-        slot.command, slot.commanded = parts, (self.link, self.polls)
+        slot.command, slot.commanded = parts, (0, 0)  # not sent
         if self.ready:
+            slot.commanded = (self.link, self.polls)
             self.pool.tell(self.pool.send, self.link, parts)
 
     def poll(self) -> None:
+        if self.pool.mailbox.qsize() > MOST_BEHIND:  # a paused pool gets no heap of polls
+            return
         self.polls += 1
         self.pool.tell(self.pool.send, self.link, poollines.poll(f"{self.link}-{self.polls}"))
 
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -12,9 +12,9 @@
 from vetchford.wire.inbox import Inbox, UnfollowableError
 from vetchford.wire.sockets import send_parts, shut
 
-MOST_OPEN = 32  # tasks on one connection
+MOST_OPEN = 64  # tasks: twice the page's 32, as one that nobody waits for is open here until it is answered
 MOST_REPLIES = 64  # to checks and bad messages, waiting to be written, before reading waits for them
-CLOSES_IN = 2.0  # s after `closing`; balancers close at once, one that doesn't is not waited for
+CLOSES_IN = 0.5  # s after `closing`: balancers close at once, and what crosses a close comes within 50 ms
 BACKLOG = 512
 BUFFER = 2 * (jsonrpc.MOST_HEAD + jsonrpc.MOST_BODY)
 
@@ -30,7 +30,7 @@
         self.sock, self.doors, self.module = sock, doors, doors.module
         self.open: set[int | str] = set()
         self.used = time.monotonic()
-        self.broken = self.read_all = self.ending = False
+        self.broken = self.read_all = self.ending = self.writing = False
         self.asked = 0.0  # when it was asked to close; 0: not yet
         self.room = threading.BoundedSemaphore(MOST_REPLIES)
 
@@ -135,9 +135,10 @@
             self.module.tell(self.module.caller_gone, self)
 
     def write_answer(self, rpc_id: int, parts: list[bytes]) -> None:
+        self.writing = True
+        self.open.discard(rpc_id)  # before it leaves: the balancer may send the next one at once
         self.write(parts)
-        self.used = time.monotonic()
-        self.open.discard(rpc_id)
+        self.used, self.writing = time.monotonic(), False
 
     def write_reply(self, parts: list[bytes]) -> None:
         self.write(parts)
@@ -155,6 +156,11 @@
     def read_out(self) -> None:
         self.read_all = True
 
+    def done(self, now: float) -> bool:
+        """Asked to close some time ago, with nothing left to be read or written."""
+        quiet = not self.open and not self.writing and self.mailbox.empty()
+        return self.broken or quiet and 0.0 < self.asked < now - CLOSES_IN
+
     def idle(self) -> None:
         if not self.mailbox.empty() or self.open and not self.broken:
             return
@@ -219,8 +225,8 @@
             connection.begin()
         except RuntimeError as problem:  # no thread to be had
             self.counts.note("accept_failed", problem=str(problem))
-            connection.broken = True
-            shut(connection.sock)
+            connection.running = False
+            connection.tell(connection.read_out)  # wakes its writer, if that was begun
             sock.close()
             self.left(connection)
 
@@ -243,7 +249,7 @@
             if not connection.asked:
                 self.counts.add("connections_asked_to_close")
                 connection.tell(connection.ask_to_close)
-            elif connection.asked < now - CLOSES_IN:
+            elif connection.done(now):
                 shut(connection.sock)
 
     def close(self) -> None:
@@ -257,12 +263,12 @@
             shut(self.sock)  # wakes the thread that accepts
             self.sock.close()
         with self.lock:
-            asked = list(self.connections)
+            asked = [connection for connection in self.connections if not connection.asked]
         for connection in asked:
             connection.tell(connection.ask_to_close)
 
-    def unanswered(self) -> int:
+    def done(self) -> bool:
+        """Whether all that came through it is answered and closed, or could be."""
+        now = time.monotonic()
         with self.lock:
-            return sum(
-                len(connection.open) + (not connection.mailbox.empty()) for connection in self.connections
-            )
+            return all(connection.done(now) for connection in self.connections)
--- a/vetchford/wire/pool.py
+++ b/vetchford/wire/pool.py
@@ -93,6 +93,6 @@
             module.tell(module.bound, self.link, *poollines.bound_fields(message))
         elif name == "unknown":
             command, task = str(message.get("state"))[:20], str(message.get("job"))[:64]
-            self.counts.note("pool_unknown", command=command, task=task)
+            module.tell(module.command_unknown, command, task)
         elif name != "chatter":
             self.counts.note("pool_bad_line", problem="field 'type' names no message")
--- a/vetchford/wire/records.py
+++ b/vetchford/wire/records.py
@@ -23,6 +23,7 @@
         super().__init__("records", counts)
         self.address, self.module = address, module
         self.line: Line | None = None  # the connection that new calls go on
+        self.retired: list[Line] = []  # those that still have calls; emptied as they break
 
     def op(self, name: str, number: int, until: float, body: bytes) -> None:
         wait = int(until - time.time() * 1000.0)
@@ -44,16 +45,19 @@
         except OSError as problem:
             self.counts.note("records_refused", problem=str(problem))
             return None
+        self.retired = [line for line in self.retired if not line.broken]
         if self.line is not None:
             self.line.retire()
+            self.retired.append(self.line)
         self.line = Line(sock, self)
         threading.Thread(target=self.line.read, name="records-reader", daemon=True).start()
         self.counts.add("records_connected")
         return self.line
 
-    def unop(self, name: str, number: int, line: "Line | None" = None) -> None:
-        if self.line is not None:
-            self.line.give_up(name, number)
+    def unop(self, name: str, number: int) -> None:
+        for line in (self.line, *self.retired):
+            if line is not None:
+                line.give_up(name, number)
 
 
 class Line:
