--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -240,8 +240,9 @@
             "stop_ms": stop_ms, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "settings": {**TOLD, **told},
         }))
-        self.process = subprocess.Popen(self.COMMAND, stderr=subprocess.STDOUT, stdout=subprocess.PIPE, text=True,
-                                        env={**os.environ, "ROUTER_CONFIG": str(config)})
+        self.process = subprocess.Popen(
+            self.COMMAND, stderr=subprocess.STDOUT, stdout=subprocess.PIPE, text=True,
+            env={**os.environ, "ROUTER_CONFIG": str(config)})
         self.log = []
         for line in self.process.stdout:
             self.log.append(line)
