Readers wait while the module's mailbox is far behind

Seen with a probe on the repository's own stand-ins (loopback, 1,000 connections, 32 open tasks of 2 KiB on each): peak 188 MB of the 192 told, all in entries of the module's mailbox that nobody had come to yet. MALLOC_ARENA_MAX=2 was tried beside it: 94 MB, not kept.

--- a/vetchford/lifecycle/actor.py
+++ b/vetchford/lifecycle/actor.py
@@ -1,12 +1,15 @@
 """Mailboxes, and the threads that empty them."""
 
 import threading
+import time
 from collections.abc import Callable
 from queue import Empty, SimpleQueue
 from typing import Any
 
 from vetchford.lifecycle.counts import Counts
 
+MOST_BEHIND = 2000  # entries, of 3 KB at most: a tenth of a second of work, and some MB
+
 
 class Actor:
     """One thread and its mailbox. `tell` never blocks; an entry is one of its methods, with arguments."""
@@ -19,6 +22,12 @@
     def tell(self, act: Callable[..., None], *given: Any) -> None:
         self.mailbox.put((act, given))
 
+    def tell_when_room(self, act: Callable[..., None], *given: Any) -> None:
+        """For readers of sockets: a mailbox that is far behind stops them, and so those who write to them."""
+        while self.mailbox.qsize() > MOST_BEHIND:
+            time.sleep(0.005)  # s: the mailbox empties by some fifty entries meanwhile
+        self.mailbox.put((act, given))
+
     def begin(self) -> None:
         threading.Thread(target=self.run, name=self.name, daemon=True).start()
 
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -96,7 +96,7 @@
         if tenant is None:
             raise jsonrpc.BadMessageError(jsonrpc.INVALID_PARAMS, "field 'team' names no tenant", rpc_id)
         self.open.add(rpc_id)
-        self.module.tell(
+        self.module.tell_when_room(
             self.module.request,
             self,
             rpc_id,
--- a/vetchford/wire/pool.py
+++ b/vetchford/wire/pool.py
@@ -84,15 +84,15 @@
                 self.counts.note("pool_notices_missed", after=self.last, number=number)
             self.last = number
         if name == "finished":
-            module.tell(module.run_ended, *poollines.finished_fields(message))
+            module.tell_when_room(module.run_ended, *poollines.finished_fields(message))
         elif name == "blocked":
-            module.tell(module.run_blocked, *poollines.blocked_fields(message))
+            module.tell_when_room(module.run_blocked, *poollines.blocked_fields(message))
         elif name == "polled":
-            module.tell(module.polled, *poollines.polled_fields(message))
+            module.tell_when_room(module.polled, *poollines.polled_fields(message))
         elif name == "bound":
             module.tell(module.bound, self.link, *poollines.bound_fields(message))
         elif name == "unknown":
             command, task = str(message.get("state"))[:20], str(message.get("job"))[:64]
-            module.tell(module.command_unknown, command, task)
+            module.tell_when_room(module.command_unknown, command, task)
         elif name != "chatter":
             self.counts.note("pool_bad_line", problem="field 'type' names no message")
