--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -275,4 +275,4 @@
     def __exit__(self, *problem):
         self.process.kill()
         self.process.wait()
-        assert "actor_error" not in "".join(self.log), "".join(self.log)
+        assert "part_broke" not in "".join(self.log), "".join(self.log)
--- a/vetchford/cli.py
+++ b/vetchford/cli.py
@@ -1,30 +1,69 @@
 """vetchford: admission and scheduling for a server behind other people's balancers.
 
 Usage:
-  vetchford serve [--config FILE]
+  vetchford [options] serve
+  vetchford [options] check
+  vetchford [options] settings
   vetchford version
+  vetchford (-h | --help)
+
+Commands:
+  serve     run one server until SIGTERM or SIGINT, then answer all that is open and leave
+  check     read the configuration as `serve` would and name the first key at fault; starts nothing
+  settings  print what was understood of the configuration, as JSON
+  version   print the version
 
 Options:
-  --config FILE  the configuration file; else ROUTER_CONFIG names it
+  --config FILE      configuration file; else the environment's ROUTER_CONFIG names it
+  --log-level LEVEL  debug, info, warning or error [default: info]
+  --log-form FORM    text (key=value) or json, a line each on standard error [default: text]
+  -h --help          this text
+
+Exit status: 0 done, 1 a failure at run time (an address in use, say), 2 wrong usage or configuration.
+
+Examples:
+  vetchford check --config config.json
+  ROUTER_CONFIG=/run/balancer/config.json vetchford serve --log-form json
 """
 
+import json
 import sys
 
-from docopt import docopt
+from docopt import DocoptExit, docopt
 
 import vetchford
-from vetchford.lifecycle import configuration, server
+from vetchford.lifecycle import configuration, logs, server
 from vetchford.startup import MalformedError
 
 
 def main(argv: list[str] | None = None) -> int:
-    asked = docopt(__doc__, argv)
+    try:
+        asked = docopt(__doc__, argv)
+    except DocoptExit:
+        return complain("wrong usage; `vetchford --help` tells how")
+    for option, known in (("--log-level", tuple(logs.LEVELS)), ("--log-form", logs.FORMS)):
+        if asked[option] not in known:
+            return complain(f"{option} must be one of {', '.join(known)}")
     if asked["version"]:
         print(vetchford.__version__)
         return 0
     try:
         told = configuration.load(path=asked["--config"])
     except MalformedError as problem:
-        print(f"vetchford: {problem}", file=sys.stderr)
-        return 2
-    return server.serve(told)
+        return complain(str(problem))
+    if asked["check"]:
+        print(f"{told['name']}: configuration is good")
+        return 0
+    if asked["settings"]:
+        print(json.dumps(configuration.understood(told), indent=2))
+        return 0
+    writer = logs.begin(asked["--log-level"], asked["--log-form"])
+    try:
+        return server.serve(told)
+    finally:
+        writer.close()
+
+
+def complain(text: str) -> int:
+    print(f"vetchford: {text}", file=sys.stderr)
+    return 2
--- a/vetchford/lifecycle/actor.py
+++ b/vetchford/lifecycle/actor.py
@@ -52,16 +52,4 @@
         try:
             act(*given)
         except Exception as problem:
-            place = problem.__traceback__
-            while place and place.tb_next:
-                place = place.tb_next
-            self.counts.note(
-                "actor_error",
-                actor=self.name,
-                problem=type(problem).__name__,
-                text=str(problem)[:200],
-                line=place.tb_lineno if place else 0,
-                file=place.tb_frame.f_code.co_filename.rsplit("/", 1)[-1] if place else "",
-            )
-            if __debug__:
-                raise
+            self.counts.broke(self.name, problem)
--- a/vetchford/lifecycle/configuration.py
+++ b/vetchford/lifecycle/configuration.py
@@ -79,5 +79,27 @@
         raise MalformedError(f"key 'settings' holds a value of the wrong kind: {problem}") from None
 
 
+def understood(told: Mapping[str, Any]) -> dict[str, Any]:
+    """What on-call staff want to see of it: addresses, limits and the stages by the project's words."""
+    settings = told["settings"]
+    stages = settings.get("requestClasses") or []
+    millis = startup.NS_PER_MS
+    return {
+        **{key: told[key] for key in ("name", "listen", "pool", "records", "members", "stop_ms", "limits")},
+        "cores": (settings.get("familyInfo") or {}).get("cores"),
+        "tenants": list(startup.indices(settings)[1]),
+        "stages": [
+            {
+                "name": entry.get("name"),
+                "effect": startup.EFFECTS[entry["effect"]],
+                "due_ms": (entry.get("promise") or entry["deadline"]) / millis,
+                "limit_ms": entry["deadline"] / millis,
+                "utility": entry.get("worth"),
+            }
+            for entry in stages
+        ],
+    }
+
+
 def seed(told: Mapping[str, Any]) -> int:
     return int(str(told.get("seed")), 16)
--- a/vetchford/lifecycle/counts.py
+++ b/vetchford/lifecycle/counts.py
@@ -31,6 +31,22 @@
             counted = dict(sorted(self.by_name.items()))
         log.info("summary", **fields, **counted)
 
+    def broke(self, part: str, problem: Exception) -> None:
+        """Our own code went wrong: debug builds end the thread, release builds say where and go on."""
+        place = problem.__traceback__
+        while place and place.tb_next:
+            place = place.tb_next
+        code = place.tb_frame.f_code.co_filename.rsplit("/", 1)[-1] if place else ""
+        self.note(
+            "part_broke",
+            part=part,
+            problem=type(problem).__name__,
+            text=str(problem)[:200],
+            place=f"{code}:{place.tb_lineno if place else 0}",
+        )
+        if __debug__:
+            raise problem
+
     def must(self, holds: bool, name: str, **fields: Any) -> bool:
         assert holds, name
         if not holds:
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -54,6 +54,7 @@
         self.node: rules.Node | None = None
         self.origin = 0.0  # Unix ms that the node's clock starts at
         self.link, self.ready = 0, False  # the pool's link; whether its replay was read
+        self.arriving = -1  # the task that the node is told of just now
         self.polls, self.confirmed = 0, (0, 0)  # sent; link and number of the last that was answered
         self.gauges: list[float] = []
         self.idle_for = math.inf
@@ -114,6 +115,7 @@
         content: str,
     ) -> None:
         if self.node is None:  # the pool is not up: it never ran
+            self.counts.add("rejected_no_pool")
             caller.answer(rpc_id, jsonrpc.rejected(rpc_id, False, 0.0))
             return
         if name in self.tasks.by_name:
@@ -132,6 +134,7 @@
             if original is not None:
                 self.tasks[q].waits_for = original
         self.counts.add("read")
+        self.arriving = q
         self.node.arrived(
             now,
             q,
@@ -145,6 +148,7 @@
             max(0.0, now - arrived),
             original,
         )
+        self.arriving = -1
 
     def caller_gone(self, caller: Any) -> None:
         for q in [q for q, slot in enumerate(self.tasks.slots) if slot and slot.caller is caller]:
@@ -338,7 +342,13 @@
 
     def reject(self, q: int, terminal: bool, pause: float) -> None:
         slot = self.tasks[q]
-        self.answer(slot, jsonrpc.rejected(slot.rpc_id, terminal, pause), "rejected")
+        if self.node.notice < math.inf:
+            why = "draining"
+        elif self.node.stalled:
+            why = "stalled"
+        else:
+            why = "at_door" if q == self.arriving else "held"
+        self.answer(slot, jsonrpc.rejected(slot.rpc_id, terminal, pause), "rejected_" + why)
 
     def abandon(self, q: int) -> None:
         slot = self.tasks[q]
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -54,6 +54,13 @@
             self.pass_over()
         except OSError:
             self.broken = True
+        except Exception as problem:
+            self.broken = True
+            self.counts.broke("connection-reader", problem)
+        finally:
+            self.read_to_end()
+
+    def read_to_end(self) -> None:
         if self.broken:
             self.module.tell(self.module.caller_gone, self)
         self.tell(self.read_out)
@@ -71,6 +78,8 @@
         self.used = time.monotonic()
         try:
             method, rpc_id, params = jsonrpc.decode(body)
+            if rpc_id in self.open:
+                raise jsonrpc.BadMessageError(jsonrpc.INVALID_REQUEST, f"id {rpc_id} is in use")
             if rpc_id is None:
                 self.counts.add("balancer_notifications")  # nothing is owed to them
             elif method == "check":
@@ -79,12 +88,12 @@
                 self.request(method, rpc_id, params)
         except jsonrpc.BadMessageError as problem:
             self.counts.note("balancer_bad_message", code=problem.code, problem=str(problem))
-            self.reply(jsonrpc.error(problem.rpc_id, problem.code, str(problem)))
+            # Under the id of an open task this would pass for its answer.
+            rpc_id = None if problem.rpc_id in self.open else problem.rpc_id
+            self.reply(jsonrpc.error(rpc_id, problem.code, str(problem)))
 
     def request(self, method: str, rpc_id: int | str, params: dict) -> None:
         stage = self.doors.stages.get(method)
-        if rpc_id in self.open:  # under this id its answer would pass for the open one's
-            raise jsonrpc.BadMessageError(jsonrpc.INVALID_REQUEST, f"id {rpc_id} is in use")
         if stage is None:
             raise jsonrpc.BadMessageError(jsonrpc.METHOD_NOT_FOUND, "method names no stage", rpc_id)
         if not isinstance(rpc_id, int):
--- a/vetchford/wire/pool.py
+++ b/vetchford/wire/pool.py
@@ -58,6 +58,8 @@
                 self.read(sock)
             except (OSError, UnfollowableError) as problem:
                 why = f"{type(problem).__name__}: {problem}"
+            except Exception as problem:
+                self.counts.broke("pool-reader", problem)
             self.sock = None
             sock.close()
             self.counts.note("pool_link_lost", why=why, last=self.last)
--- a/vetchford/wire/poollines.py
+++ b/vetchford/wire/poollines.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import json
+import math
 from typing import Any
 
 from vetchford.wire.inbox import Inbox
@@ -43,6 +44,13 @@
     return value
 
 
+def took(message: dict[str, Any]) -> float:
+    value = field(message, "took", (int, float))
+    if not 0.0 <= value < 1e12:  # one wrong figure would spoil every mean it goes into
+        raise BadLineError("field 'took' is no time")
+    return float(value)
+
+
 def finished_fields(message: dict[str, Any]) -> tuple[str, str, float, str]:
     """Id, outcome in the module's words, time taken in ms, result in base64."""
     state = field(message, "state", str)
@@ -51,7 +59,7 @@
     data = message.get("data")
     if state == "complete" and not isinstance(data, str):
         raise BadLineError("field 'data' is missing")
-    return field(message, "job", str), ENDS[state], float(field(message, "took", (int, float))), data or ""
+    return field(message, "job", str), ENDS[state], took(message), data or ""
 
 
 def blocked_fields(message: dict[str, Any]) -> tuple[str, int, bytes]:
@@ -65,14 +73,14 @@
 
 def polled_fields(message: dict[str, Any]) -> tuple[str, list[float]]:
     gauges = field(message, "gauges", list)
-    if not all(isinstance(value, int | float) for value in gauges):
+    if not all(isinstance(value, int | float) and math.isfinite(value) for value in gauges):
         raise BadLineError("field 'gauges' holds something that is no number")
     return field(message, "ref", str), gauges
 
 
 def bound_fields(message: dict[str, Any]) -> tuple[bool, float]:
     """Whether it started cold, and how long ago in ms."""
-    return field(message, "state", str) == "chilly", float(field(message, "took", (int, float)))
+    return field(message, "state", str) == "chilly", took(message)
 
 
 def bind(last: int) -> list[bytes]:
--- a/vetchford/wire/records.py
+++ b/vetchford/wire/records.py
@@ -121,6 +121,8 @@
                     self.take(*reply)
         except (OSError, UnfollowableError) as problem:
             why = f"{type(problem).__name__}: {problem}"
+        except Exception as problem:
+            self.records.counts.broke("records-reader", problem)
         finally:
             self.end(why)
             self.sock.close()
