--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,6 +6,7 @@
 import os
 import queue
 import re
+import shlex
 import signal
 import socket
 import subprocess
@@ -228,7 +229,8 @@
     if os.environ.get("VETCHFORD_RUN"):  # how the operators start it
         COMMAND = ("/bin/sh", "-c", os.environ["VETCHFORD_RUN"])
 
-    def __init__(self, folder, up=True, cold=False, records_up=True, stop_ms=8000, sockets=128, **told):
+    def __init__(self, folder, up=True, cold=False, records_up=True, stop_ms=8000, sockets=128, files=None,
+                 **told):
         self.pool, self.records = PoolPeer(cold, up), RecordsPeer(records_up)
         self.members = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.members.bind(("127.0.0.1", 0))
@@ -240,8 +242,11 @@
             "stop_ms": stop_ms, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "settings": {**TOLD, **told},
         }))
+        command = self.COMMAND
+        if files:  # fewer descriptors than it is told of
+            command = ("/bin/sh", "-c", f"ulimit -n {files}; exec {shlex.join(command)}")
         self.process = subprocess.Popen(
-            self.COMMAND, stderr=subprocess.STDOUT, stdout=subprocess.PIPE, text=True,
+            command, stderr=subprocess.STDOUT, stdout=subprocess.PIPE, text=True,
             env={**os.environ, "ROUTER_CONFIG": str(config)})
         self.log = []
         for line in self.process.stdout:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -323,15 +323,16 @@
     assert caller.hear() is None
 
 
-def test_a_full_table_of_connections_serves_on_and_takes_newcomers_as_others_leave(tmp_path):
-    with Running(tmp_path, sockets=40) as server:
+@pytest.mark.parametrize(("sockets", "files"), [(40, None), (1024, 24)])
+def test_a_full_table_serves_on_and_takes_newcomers_as_others_leave(tmp_path, sockets, files):
+    with Running(tmp_path, sockets=sockets, files=files) as server:
         callers = [server.balancer() for _ in range(30)]  # more than may be open: some wait in the backlog
         job = callers[0].ask(1)
         server.pool.take("spawn")
         server.pool.finish(job)
         assert callers[0].hear()["id"] == 1
         callers[-1].ask(1, txn="ab")
-        for caller in callers[:20]:
+        for caller in callers[:20]:  # those in the backlog leave with them
             caller.gone()
         assert server.pool.take("spawn")[1]["job"] == "ab"
         server.pool.finish("ab")
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,183 @@
+"""Configuration, command line, counts, log; the fingerprints' table; events against the on-call page."""
+
+import io
+import json
+import random
+import re
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from helpers import TOLD
+
+import vetchford
+from vetchford.lifecycle import configuration, logs
+from vetchford.lifecycle.counts import Counts
+from vetchford.memory.fingerprints import Fingerprints
+from vetchford.startup import MalformedError
+
+ROOT = Path(vetchford.__file__).parent.parent
+GOOD = {
+    "name": "n1",
+    "listen": "127.0.0.1:0",
+    "pool": "127.0.0.1:1",
+    "records": "127.0.0.1:1",
+    "members": "127.0.0.1:1",
+    "seed": "8c1f30d27a5be964",
+    "stop_ms": 3200,
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128},
+    "settings": TOLD,
+}
+
+
+def command(*given, **environment):
+    return subprocess.run(
+        [sys.executable, "-m", "vetchford", *given],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={"PATH": "/usr/bin", **environment},
+        cwd=ROOT,
+    )
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("name", None),
+        ("name", "two words"),
+        ("listen", "here"),
+        ("listen", "127.0.0.1:x"),
+        ("pool", None),
+        ("records", "localhost:5"),
+        ("members", 7),
+        ("seed", "xyz"),
+        ("seed", None),
+        ("stop_ms", 0),
+        ("stop_ms", "3200"),
+        ("limits", None),
+        ("limits.sockets", 3),
+        ("settings", []),
+        ("settings.requestClasses", []),
+        ("settings.familyInfo.cores", 0),
+        ("settings.requestClasses", [5]),
+    ],
+)
+def test_a_wrong_configuration_is_named_by_its_key(key, value):
+    told = json.loads(json.dumps(GOOD))
+    inner, *path = told, *key.split(".")
+    for step in path[:-1]:
+        inner = inner[step]
+    inner[path[-1]] = value
+    with pytest.raises(MalformedError, match="settings" if key.startswith("settings") else key):
+        configuration.check(told)
+
+
+def test_a_good_configuration_is_understood_and_the_environment_goes_before_it(tmp_path):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(GOOD))
+    told = configuration.load(
+        {"ROUTER_CONFIG": str(file), "ROUTER_NAME": "n9", "ROUTER_LISTEN": "127.0.0.1:9"}
+    )
+    assert (told["name"], told["listen"]) == ("n9", "127.0.0.1:9")
+    assert configuration.understood(told)["stages"][1]["limit_ms"] == 60_000.0
+
+
+def test_wrong_usage_and_configuration_are_one_line_and_2_and_nothing_listens(tmp_path):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps({**GOOD, "pool": "?"}))
+    for given in (
+        ["serve"],
+        ["start"],
+        [],
+        ["serve", "--config", str(tmp_path / "none")],
+        ["serve", "--config", str(file)],
+        ["--log-level", "loud", "version"],
+    ):
+        ran = command(*given)
+        assert (ran.returncode, ran.stdout, ran.stderr.count("\n")) == (2, "", 1), (given, ran.stderr)
+    assert "pool" in command("check", ROUTER_CONFIG=str(file)).stderr
+
+
+def test_an_address_in_use_is_a_failure_at_run_time_in_plain_words(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps({**GOOD, "listen": f"127.0.0.1:{taken.getsockname()[1]}"}))
+        ran = command("--log-form", "json", "serve", "--config", str(file))
+    assert ran.returncode == 1 and json.loads(ran.stderr)["event"] == "cannot_listen"
+
+
+def test_good_commands_exit_with_0(tmp_path):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(GOOD))
+    assert command("version").stdout == vetchford.__version__ + "\n"
+    assert command("check", "--config", str(file)).returncode == 0
+    assert json.loads(command("settings", "--config", str(file)).stdout)["tenants"] == ["acme"]
+    assert "Usage" in command("--help").stdout
+
+
+def test_every_event_stands_on_the_on_call_page_and_the_other_way_round():
+    code = "".join(path.read_text() for path in sorted((ROOT / "vetchford").rglob("*.py")))
+    said = set(re.findall(r"(?:log\.\w+|\.note)\(\s*\"(\w+)\"", code))
+    table = (ROOT / "docs" / "on-call.md").read_text().split("## Log events")[1].split("\n## ")[0]
+    assert said == set(re.findall(r"^\| `(\w+)`", table, re.M)) and len(said) > 15
+
+
+def test_what_a_peer_can_provoke_is_logged_ever_more_rarely_and_a_stuck_log_stops_nobody():
+    read, write = socket.socketpair()
+    writer = logs.begin("info", "json", write.makefile("w"))
+    counts = Counts()
+    for _ in range(1000):
+        counts.note("balancer_bad_message", code=1)
+    assert counts.by_name["balancer_bad_message"] == 1000 and writer.lines.qsize() <= 10
+    for _ in range(20_000):
+        counts.log_summary(text="x" * 200)
+    assert writer.lines.qsize() <= logs.MOST_WAITING and writer.dropped > 0
+    read.close()
+    write.close()
+    logs.begin("error", "text", io.StringIO())
+
+
+def test_what_must_hold_is_asserted_in_debug_builds_and_counted_in_release_builds():
+    with pytest.raises(AssertionError):
+        Counts().must(False, "one_answer")
+    release = (
+        "from vetchford.lifecycle.counts import Counts\nc = Counts()\nc.must(False, 'one_answer')\n"
+        "print(c.by_name)"
+    )
+    ran = subprocess.run([sys.executable, "-O", "-c", release], capture_output=True, text=True, cwd=ROOT)
+    assert "'must_hold_broken': 1" in ran.stdout
+
+
+def test_fingerprints_agree_with_a_plain_list_of_what_was_kept():
+    for seed in range(50):
+        chance, prints, plain, ended = random.Random(seed), Fingerprints(), [], {}
+        for q in range(200):
+            mark, door = chance.choice("abcde"), float(10 * q)
+            live = [entry for entry in plain if entry[0] == mark]
+            expected = live[-1][1] if live and door <= live[-1][2] else None
+            assert prints.find(mark, door) == expected
+            if expected is None:
+                plain = [entry for entry in plain if entry[0] != mark]
+                plain.append((mark, q, door + 45.0))
+                prints.keep(mark, q, door + 45.0)
+            else:
+                if expected in ended:
+                    assert prints.results[expected] == (True, str(expected))
+                else:
+                    prints.wait(expected, q)
+            if chance.random() < 0.5:
+                _, done, _ = chance.choice(plain)
+                if done not in ended:
+                    waiting = prints.end(done, True, str(done))
+                    assert waiting == sorted(waiting) and done not in prints.sharing
+                    ended[done] = True
+            if chance.random() < 0.2:
+                gone = chance.choice(plain)
+                plain.remove(gone)
+                chance.choice((prints.drop, prints.release))(gone[1])
+        for _, q, _ in plain:
+            prints.release(q)
+        assert not prints.entries and not prints.marks
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -28,6 +28,7 @@
 EXIT_TAKES = 120.0  # ms: from the last answers to the sweep that sees them written, and the exit itself
 LEAVE_BEFORE = 40.0  # ms before the kill: what is not written by then will not be
 SUMMARY = 10_000.0  # ms between summary lines
+Act, Given = Callable[..., None], tuple[Any, ...]
 RUNS, BEGUN = (rules.RUNNING,), (rules.RUNNING, rules.PARKED, rules.CALLING)
 
 
@@ -35,22 +36,15 @@
     def __init__(self, seed: int, told: dict[str, Any], counts: Counts) -> None:
         super().__init__("module", counts)
         self.seed, self.told = seed, told
-        self.fingerprinted = [
-            entry.get("effect") == "idempotency_key" for entry in told.get("requestClasses") or []
-        ]
         self.gauge_places = startup.indices(told)[2]
         self.tasks, self.prints = Tasks(), Fingerprints()
         self.marks: dict[int, str] = {}  # fingerprints of tasks; emptied by `release`
         self.calls: dict[int, int] = {}  # tasks by the number of their call; emptied as calls end or are cut
         self.begun: dict[int, float] = {}  # when they went out; emptied alike
         self.call_count = 0
-        self.timers: list[
-            tuple[float, int, Callable[..., None], tuple[Any, ...]]
-        ] = []  # emptied as they fire
+        self.timers: list[tuple[float, int, Act, Given]] = []  # a heap, emptied as they fire
         self.timer_count = 0
-        self.later: deque[tuple[Callable[..., None], tuple[Any, ...]]] = (
-            deque()
-        )  # until the node's method returns
+        self.later: deque[tuple[Act, Given]] = deque()  # until the node's method returns
         self.node: rules.Node | None = None
         self.origin = 0.0  # Unix ms that the node's clock starts at
         self.link, self.ready = 0, False  # the pool's link; whether its replay was read
@@ -62,13 +56,8 @@
         self.stopped = False
 
     def attach(self, pool: Any, records: Any, members: Any, doors: Any, stopped: Callable[[], None]) -> None:
-        self.pool, self.records, self.members, self.doors, self.when_stopped = (
-            pool,
-            records,
-            members,
-            doors,
-            stopped,
-        )
+        self.pool, self.records, self.members, self.doors = pool, records, members, doors
+        self.when_stopped = stopped
 
     # -- the clock and its timers
 
@@ -128,7 +117,7 @@
         until = None if limit is None else arrived + limit
         q = self.tasks.add(Slot(name, kind, caller, rpc_id, content))
         original = None
-        if mark is not None and self.fingerprinted[stage]:
+        if mark is not None and self.node.stages[stage].effect == rules.FINGERPRINTED:
             original = self.prints.find(mark, door)
             self.marks[q] = mark
             if original is not None:
@@ -237,7 +226,7 @@
         if q is None:
             return
         slot = self.tasks[q]
-        slot.command = None
+        slot.command, slot.content = None, ""
         if slot.call:
             self.records.tell(self.records.unop, name, slot.call)
             del self.calls[slot.call], self.begun[slot.call]
