--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -230,14 +230,14 @@
         COMMAND = ("/bin/sh", "-c", os.environ["VETCHFORD_RUN"])
 
     def __init__(self, folder, up=True, cold=False, records_up=True, stop_ms=8000, sockets=128, files=None,
-                 **told):
+                 listen="127.0.0.1:0", **told):
         self.pool, self.records = PoolPeer(cold, up), RecordsPeer(records_up)
         self.members = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.members.bind(("127.0.0.1", 0))
         self.members.settimeout(PATIENCE)
         config = folder / "config.json"
         config.write_text(json.dumps({
-            "name": "n1", "listen": "127.0.0.1:0", "pool": self.pool.address, "records": self.records.address,
+            "name": "n1", "listen": listen, "pool": self.pool.address, "records": self.records.address,
             "members": f"127.0.0.1:{self.members.getsockname()[1]}", "seed": "8c1f30d27a5be964",
             "stop_ms": stop_ms, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "settings": {**TOLD, **told},
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -1,6 +1,7 @@
 """The whole server in a process of its own, against stand-ins for all it meets."""
 
 import base64
+import contextlib
 
 import pytest
 from helpers import TOLD, Balancer, Running
@@ -245,6 +246,40 @@
         assert server.process.wait(20) == 0
 
 
+def test_after_a_kill_the_same_address_serves_again_at_once(server, tmp_path):
+    caller = server.balancer()
+    caller.ask(1, "pay", txn="k1", unique=MARK)
+    server.pool.take("spawn")
+    server.process.kill()
+    server.process.wait()
+    with Running(tmp_path, listen=f"127.0.0.1:{server.port}", cold=True) as again:
+        caller = again.balancer()
+        job = caller.ask(1, "pay", txn="k2", unique=MARK)  # nothing is known of the life before
+        assert again.pool.take("spawn")[1]["job"] == job
+        again.pool.finish(job)
+        assert "result" in caller.hear()
+
+
+def test_a_balancer_that_reads_nothing_holds_up_itself_alone(server):
+    mute, caller = server.balancer(), server.balancer()
+    mute.sock.settimeout(0.2)  # s: for each write; how many fit does not matter
+    check = b'{"jsonrpc":"2.0","id":1,"method":"check"}'
+    with contextlib.suppress(OSError):
+        for _ in range(400):
+            mute.raw((b"Content-Length: %d\r\n\r\n%b" % (len(check), check)) * 1000)
+    job = caller.ask(1)
+    server.pool.take("spawn")
+    server.pool.finish(job)
+    assert caller.hear()["id"] == 1
+
+
+def test_a_run_that_never_ends_is_answered_when_its_caller_stops_waiting(server):
+    caller = server.balancer()
+    caller.ask(1, limit=700)
+    server.pool.take("spawn")
+    assert caller.hear()["error"]["code"] == -32051  # it may have had its effect
+
+
 def test_a_caller_that_resets_its_connection_costs_nobody_else_an_answer(server):
     gone, stays = server.balancer(), server.balancer()
     lost, kept = gone.ask(1, "pay", txn="f1", unique=MARK), stays.ask(1, txn="f2")
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import queue
 import random
 import re
 import socket
@@ -10,12 +11,13 @@
 from pathlib import Path
 
 import pytest
-from helpers import TOLD
+from helpers import TOLD, Recorder
 
 import vetchford
 from vetchford.lifecycle import configuration, logs
 from vetchford.lifecycle.counts import Counts
 from vetchford.memory.fingerprints import Fingerprints
+from vetchford.module import ModuleActor
 from vetchford.startup import MalformedError
 
 ROOT = Path(vetchford.__file__).parent.parent
@@ -85,6 +87,18 @@
     assert configuration.understood(told)["stages"][1]["limit_ms"] == 60_000.0
 
 
+@pytest.mark.parametrize("cold", [False, True])
+def test_the_ramp_of_a_cold_pool_counts_from_the_pool_s_start(cold):
+    told = {**TOLD, "rules": {"fallMultiple": 8.0, "coldFrom": 0.24, "rampTime": 18_000_000_000}}
+    module = ModuleActor(7, told, Counts())
+    peer = Recorder()
+    module.attach(peer, peer, peer, peer, lambda: None)
+    peer.mailbox = queue.SimpleQueue()
+    module.bound(1, cold, 5000.0)
+    assert module.now() >= 5000.0  # what is left of the ramp is told to the node by its clock
+    assert module.node.ramp == (18_000.0 if cold else 0.0)
+
+
 def test_wrong_usage_and_configuration_are_one_line_and_2_and_nothing_listens(tmp_path):
     file = tmp_path / "config.json"
     file.write_text(json.dumps({**GOOD, "pool": "?"}))
--- a/vetchford/benchlink/link.py
+++ b/vetchford/benchlink/link.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from vetchford import rules, startup
+from vetchford.memory.indices import Indices
 from vetchford.startup import BYTES_PER_KB, NS_PER_MS, MalformedError
 
 UNKNOWN = -1  # a repeat of something that this life no longer holds
@@ -27,9 +28,8 @@
 
     def __init__(self, number: int, origin: int, out: list[dict[str, Any]]) -> None:
         self.number, self.origin, self.out = number, origin, out
-        self.indices: dict[str, int] = {}  # emptied by `release`
-        self.ids: list[str] = []  # by index; reused through `spare`
-        self.spare: list[int] = []
+        self.indices = Indices()
+        self.ids = self.indices.names
         self.tenants: dict[str, int] = {}
         self.stages: dict[str, int] = {}
         self.gauges: dict[str, int] = {}
@@ -38,16 +38,6 @@
     def ms(self, clock: int) -> float:
         return (clock - self.origin) / NS_PER_MS
 
-    def index(self, name: str) -> int:
-        if self.spare:
-            q = self.spare.pop()
-            self.ids[q] = name
-        else:
-            q = len(self.ids)
-            self.ids.append(name)
-        self.indices[name] = q
-        return q
-
     def act(self, kind: str, **fields: Any) -> None:
         self.out.append({"t": kind, "i": self.number, **fields})
 
@@ -82,8 +72,7 @@
         self.act("unpin", call=self.ids[q])
 
     def release(self, q: int) -> None:
-        del self.indices[self.ids[q]]
-        self.spare.append(q)
+        self.indices.release(q)
 
     def fitness(self, good: bool) -> None:
         self.act("fitness", on=good, cheap=True)
@@ -116,7 +105,7 @@
         work = event.get("predicted")
         self.node.arrived(
             now,
-            self.index(name),
+            self.indices.add(name),
             self.stages[kind],
             self.tenants.get(event.get("project") or "", -1),
             event.get("who") or 0,
@@ -125,7 +114,7 @@
             max(1, round((event.get("memKb") or 0.0) * BYTES_PER_KB)),
             bool(event.get("resent")),
             (event.get("queuedFor") or 0) / NS_PER_MS,
-            self.indices.get(original, UNKNOWN) if original else None,
+            self.indices.by_name.get(original, UNKNOWN) if original else None,
         )
 
     def notice(self, now: float, event: dict[str, Any]) -> None:
@@ -142,7 +131,7 @@
 
     def known(self, event: dict[str, Any]) -> int | None:
         """The index of a task; none where it was released: word of it may come late, and changes nothing."""
-        return self.indices.get(need(event, "call", str))
+        return self.indices.by_name.get(need(event, "call", str))
 
     def lapsed(self, now: float, event: dict[str, Any]) -> None:
         q = self.known(event)
--- a/vetchford/memory/tasks.py
+++ b/vetchford/memory/tasks.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from vetchford.memory.indices import Indices
+
 
 class Slot:
     """What is kept of one task: where its answer goes, and what the worker pool was told last."""
@@ -30,22 +32,19 @@
         self.waits_for = -1  # index of the task whose result it shares
 
 
-class Tasks:
-    """Indices are handed out anew once released, so the table is as long as the most tasks known at once."""
+class Tasks(Indices):
+    """Slots by index; a released index has none."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.slots: list[Slot | None] = []
-        self.spare: list[int] = []
-        self.by_name: dict[str, int] = {}  # emptied by `release`
 
-    def add(self, slot: Slot) -> int:
-        if self.spare:
-            q = self.spare.pop()
-            self.slots[q] = slot
-        else:
-            q = len(self.slots)
+    def enter(self, slot: Slot) -> int:
+        q = self.add(slot.name)
+        if q == len(self.slots):
             self.slots.append(slot)
-        self.by_name[slot.name] = q
+        else:
+            self.slots[q] = slot
         return q
 
     def __getitem__(self, q: int) -> Slot:
@@ -54,6 +53,5 @@
         return slot
 
     def release(self, q: int) -> None:
-        del self.by_name[self[q].name]
+        super().release(q)
         self.slots[q] = None
-        self.spare.append(q)
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -115,7 +115,7 @@
             return
         now, arrived = self.now(), door - self.origin
         until = None if limit is None else arrived + limit
-        q = self.tasks.add(Slot(name, kind, caller, rpc_id, content))
+        q = self.tasks.enter(Slot(name, kind, caller, rpc_id, content))
         original = None
         if mark is not None and self.node.stages[stage].effect == rules.FINGERPRINTED:
             original = self.prints.find(mark, door)
