--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -199,6 +199,10 @@
     server.pool.take("spawn")
     server.pool.say({"type": "unknown", "state": "spawn", "job": "e2"})
     assert caller.hear()["error"]["code"] == -32051  # no end of it will ever be told
+    caller.ask(3, txn="e3")
+    server.pool.take("spawn")
+    server.pool.notice("finished", "e3", state="complete", took="long", data=None)
+    assert caller.hear()["error"]["code"] == -32051  # over, with nothing to be made of it
     server.pool.say(None, raw=b"x" * 200_000)
     assert server.pool.take("bind")
     log = server.stop()
--- a/vetchford/wire/pool.py
+++ b/vetchford/wire/pool.py
@@ -86,7 +86,13 @@
                 self.counts.note("pool_notices_missed", after=self.last, number=number)
             self.last = number
         if name == "finished":
-            module.tell_when_room(module.run_ended, *poollines.finished_fields(message))
+            try:
+                fields = poollines.finished_fields(message)
+            except poollines.BadLineError:
+                # The run is over all the same: left as running it would hold a core's place for good.
+                module.tell_when_room(module.run_ended, str(message.get("job")), "errored", 0.0, "")
+                raise
+            module.tell_when_room(module.run_ended, *fields)
         elif name == "blocked":
             module.tell_when_room(module.run_blocked, *poollines.blocked_fields(message))
         elif name == "polled":
