--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -130,6 +130,7 @@
     assert command("check", "--config", str(file)).returncode == 0
     assert json.loads(command("settings", "--config", str(file)).stdout)["tenants"] == ["acme"]
     assert "Usage" in command("--help").stdout
+    assert command("--version").stdout == command("--log-form", "json", "version").stdout
 
 
 def test_every_event_stands_on_the_on_call_page_and_the_other_way_round():
--- a/vetchford/cli.py
+++ b/vetchford/cli.py
@@ -4,8 +4,8 @@
   vetchford [options] serve
   vetchford [options] check
   vetchford [options] settings
-  vetchford version
-  vetchford (-h | --help)
+  vetchford [options] version
+  vetchford (-h | --help | --version)
 
 Commands:
   serve     run one server until SIGTERM or SIGINT, then answer all that is open and leave
@@ -18,6 +18,7 @@
   --log-level LEVEL  debug, info, warning or error [default: info]
   --log-form FORM    text (key=value) or json, a line each on standard error [default: text]
   -h --help          this text
+  --version          the version, as `version` prints it
 
 Exit status: 0 done, 1 a failure at run time (an address in use, say), 2 wrong usage or configuration.
 
@@ -38,7 +39,7 @@
 
 def main(argv: list[str] | None = None) -> int:
     try:
-        asked = docopt(__doc__, argv)
+        asked = docopt(__doc__, argv, version=vetchford.__version__)
     except DocoptExit:
         return complain("wrong usage; `vetchford --help` tells how")
     for option, known in (("--log-level", tuple(logs.LEVELS)), ("--log-form", logs.FORMS)):
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -185,7 +185,7 @@
 class Doors:
     """The listening socket, and all connections that came through it; a thread accepts."""
 
-    SPARE = 24  # descriptors for all but balancers: standard ones, pool, records, members, listener, log
+    SPARE = 16  # descriptors for all but balancers: nine are usual, and connections for calls that were given up
 
     def __init__(
         self,
