--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 import pytest
@@ -15,6 +16,7 @@
 
 import vetchford
 from vetchford.lifecycle import configuration, logs
+from vetchford.lifecycle.actor import begin_thread
 from vetchford.lifecycle.counts import Counts
 from vetchford.memory.fingerprints import Fingerprints
 from vetchford.module import ModuleActor
@@ -155,11 +157,27 @@
     logs.begin("error", "text", io.StringIO())
 
 
+def test_where_there_is_no_thread_the_next_try_takes_the_connection(monkeypatch):
+    counts, begun, tries = Counts(), [], []
+
+    class Scarce(threading.Thread):
+        def start(self):
+            tries.append(self.name)
+            if len(tries) < 3:
+                raise RuntimeError("can't start new thread")
+            begun.append(self.name)
+
+    monkeypatch.setattr(threading, "Thread", Scarce)
+    begin_thread(lambda: None, "reader", counts)
+    assert begun == ["reader"] and counts.by_name["no_thread"] == 2
+
+
 def test_what_must_hold_is_asserted_in_debug_builds_and_counted_in_release_builds():
     with pytest.raises(AssertionError):
         Counts().must(False, "one_answer")
     release = (
-        "from vetchford.lifecycle.counts import Counts\nc = Counts()\nc.must(False, 'one_answer')\n"
+        "from vetchford.lifecycle.actor import begin_thread
+from vetchford.lifecycle.counts import Counts\nc = Counts()\nc.must(False, 'one_answer')\n"
         "print(c.by_name)"
     )
     ran = subprocess.run([sys.executable, "-O", "-c", release], capture_output=True, text=True, cwd=ROOT)
--- a/vetchford/lifecycle/actor.py
+++ b/vetchford/lifecycle/actor.py
@@ -11,6 +11,17 @@
 MOST_BEHIND = 2000  # entries, of 3 KB at most: a tenth of a second of work, and some MB
 
 
+def begin_thread(act: Callable[[], None], name: str, counts: Counts) -> None:
+    """Where the system gives none just now, waits: a connection that was taken must not be dropped unread."""
+    while True:
+        try:
+            threading.Thread(target=act, name=name, daemon=True).start()
+            return
+        except RuntimeError as problem:
+            counts.note("no_thread", part=name, problem=str(problem))
+            time.sleep(0.05)  # s: others end as their connections are closed
+
+
 class Actor:
     """One thread and its mailbox. `tell` never blocks; an entry is one of its methods, with arguments."""
 
@@ -29,7 +40,7 @@
         self.mailbox.put((act, given))
 
     def begin(self) -> None:
-        threading.Thread(target=self.run, name=self.name, daemon=True).start()
+        begin_thread(self.run, self.name, self.counts)
 
     def run(self) -> None:
         while self.running:
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -6,7 +6,7 @@
 import time
 from typing import Any
 
-from vetchford.lifecycle.actor import Actor
+from vetchford.lifecycle.actor import Actor, begin_thread
 from vetchford.lifecycle.counts import Counts
 from vetchford.wire import jsonrpc
 from vetchford.wire.inbox import Inbox, UnfollowableError
@@ -36,7 +36,7 @@
 
     def begin(self) -> None:
         super().begin()
-        threading.Thread(target=self.read, name="connection-reader", daemon=True).start()
+        begin_thread(self.read, "connection-reader", self.counts)
 
     # -- the reader
 
@@ -185,7 +185,7 @@
 class Doors:
     """The listening socket, and all connections that came through it; a thread accepts."""
 
-    SPARE = 16  # descriptors for all but balancers: nine are usual, and connections for calls that were given up
+    SPARE = 16  # descriptors for all but balancers: nine are usual, more while given-up calls linger
 
     def __init__(
         self,
@@ -230,14 +230,7 @@
         with self.lock:
             self.connections.add(connection)
         self.counts.add("connections_accepted")
-        try:
-            connection.begin()
-        except RuntimeError as problem:  # no thread to be had
-            self.counts.note("accept_failed", problem=str(problem))
-            connection.running = False
-            connection.tell(connection.read_out)  # wakes its writer, if that was begun
-            sock.close()
-            self.left(connection)
+        connection.begin()
 
     def left(self, connection: Connection) -> None:
         with self.lock:
--- a/vetchford/wire/pool.py
+++ b/vetchford/wire/pool.py
@@ -1,11 +1,10 @@
 """The link to the worker pool, opened anew whenever it is lost."""
 
 import socket
-import threading
 import time
 from typing import Any
 
-from vetchford.lifecycle.actor import Actor
+from vetchford.lifecycle.actor import Actor, begin_thread
 from vetchford.lifecycle.counts import Counts
 from vetchford.wire import poollines
 from vetchford.wire.inbox import Inbox, UnfollowableError
@@ -27,7 +26,7 @@
 
     def begin(self) -> None:
         super().begin()
-        threading.Thread(target=self.keep_link, name="pool-reader", daemon=True).start()
+        begin_thread(self.keep_link, "pool-reader", self.counts)
 
     def send(self, link: int, parts: list[bytes]) -> None:
         sock = self.sock
--- a/vetchford/wire/records.py
+++ b/vetchford/wire/records.py
@@ -5,7 +5,7 @@
 import time
 from typing import Any
 
-from vetchford.lifecycle.actor import Actor
+from vetchford.lifecycle.actor import Actor, begin_thread
 from vetchford.lifecycle.counts import Counts
 from vetchford.wire import recordlines
 from vetchford.wire.inbox import Inbox, UnfollowableError
@@ -50,7 +50,7 @@
             self.line.retire()
             self.retired.append(self.line)
         self.line = Line(sock, self)
-        threading.Thread(target=self.line.read, name="records-reader", daemon=True).start()
+        begin_thread(self.line.read, "records-reader", self.counts)
         self.counts.add("records_connected")
         return self.line
 
