--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -176,8 +176,7 @@
     with pytest.raises(AssertionError):
         Counts().must(False, "one_answer")
     release = (
-        "from vetchford.lifecycle.actor import begin_thread
-from vetchford.lifecycle.counts import Counts\nc = Counts()\nc.must(False, 'one_answer')\n"
+        "from vetchford.lifecycle.counts import Counts\nc = Counts()\nc.must(False, 'one_answer')\n"
         "print(c.by_name)"
     )
     ran = subprocess.run([sys.executable, "-O", "-c", release], capture_output=True, text=True, cwd=ROOT)
