Gauges are told as of the wake: a run ended since the poll is no reading

Seen: the limit stands at the cores, so slots are limit less reading, and every slot missing idles a core. Now the runs of the poll's moment are kept beside it.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -101,6 +101,21 @@
     assert module.node.ramp == (18_000.0 if cold else 0.0)
 
 
+def test_a_run_that_ended_since_the_poll_does_not_pass_for_reading():
+    # It would be taken off the slots, and a core would stand idle for what nobody reads.
+    module, peer = ModuleActor(7, TOLD, Counts()), Recorder()
+    module.attach(peer, peer, peer, peer, lambda: None)
+    peer.mailbox = queue.SimpleQueue()
+    module.bound(1, False, 5000.0)
+    module.node.running = 2
+    module.polled("1-1", [0.9, 3.0])
+    module.node.running = 1
+    told = []
+    module.node.woke = lambda now, busy, on_cores: told.append((busy, on_cores))
+    module.sweep()
+    assert told == [(0.9, 2.0)]  # one reads, as at the poll
+
+
 def test_wrong_usage_and_configuration_are_one_line_and_2_and_nothing_listens(tmp_path):
     file = tmp_path / "config.json"
     file.write_text(json.dumps({**GOOD, "pool": "?"}))
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -51,6 +51,7 @@
         self.arriving = -1  # the task that the node is told of just now
         self.polls, self.confirmed = 0, (0, 0)  # sent; link and number of the last that was answered
         self.gauges: list[float] = []
+        self.running_then = 0  # the module's runs when the gauges were read
         self.idle_for = math.inf
         self.kill, self.leave_at = math.inf, math.inf
         self.stopped = False
@@ -163,7 +164,7 @@
         link, _, number = ref.partition("-")
         if link != str(self.link) or not number.isdigit():
             return
-        self.gauges = gauges
+        self.gauges, self.running_then = gauges, self.node.running
         if not self.ready:  # the first answer on a link comes behind the replay
             self.ready = True
             self.send_again()
@@ -260,7 +261,11 @@
             at = places.get(name, len(self.gauges))
             return self.gauges[at] if at < len(self.gauges) else None
 
-        self.node.woke(self.now(), gauge("core_use"), gauge("on_cores"))
+        on_cores = gauge("on_cores")
+        if on_cores is not None:
+            # Told as of now: a run that ended since the poll would pass for reading, and leave its core idle.
+            on_cores += self.node.running - self.running_then
+        self.node.woke(self.now(), gauge("core_use"), on_cores)
         if self.idle_for < math.inf:
             self.doors.close_idle(self.idle_for)
         if self.leave_at < math.inf:
