A task that the decisions lose is answered all the same, and counted

Seen in a read of module.py: a fault in the node (an exception in woke, say) would leave tasks unanswered past their limit, which no count showed.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -116,6 +116,22 @@
     assert told == [(0.9, 2.0)]  # one reads, as at the poll
 
 
+def test_a_task_that_the_decisions_lose_is_answered_all_the_same():
+    module, peer = ModuleActor(7, TOLD, Counts()), Recorder()
+    module.attach(peer, peer, peer, peer, lambda: None)
+    peer.mailbox = queue.SimpleQueue()
+    module.bound(1, False, 5000.0)
+    module.request(peer, 1, "ab", 0, "read", -1, 0, module.origin + module.now(), 1000.0, 20.0, 1.0, None, "")
+    module.node.woke = lambda *given: None
+    module.sweep()
+    assert "answer" not in [act[0] for act in peer.acts]
+    module.origin -= 2000.0  # its limit has passed
+    module.sweep()
+    module.sweep()
+    assert [act[0] for act in peer.acts].count("answer") == 1
+    assert module.counts.by_name["must_hold_broken"] == 1
+
+
 def test_wrong_usage_and_configuration_are_one_line_and_2_and_nothing_listens(tmp_path):
     file = tmp_path / "config.json"
     file.write_text(json.dumps({**GOOD, "pool": "?"}))
--- a/vetchford/memory/tasks.py
+++ b/vetchford/memory/tasks.py
@@ -19,11 +19,13 @@
         "name",
         "need",
         "rpc_id",
+        "until",
         "waits_for",
     )
 
-    def __init__(self, name: str, kind: str, caller: Any, rpc_id: int, content: str) -> None:
+    def __init__(self, name: str, kind: str, caller: Any, rpc_id: int, content: str, until: float) -> None:
         self.name, self.kind, self.caller, self.rpc_id, self.content = name, kind, caller, rpc_id, content
+        self.until = until  # ms by the node's clock: its answer is due by then
         self.answered = False
         self.command: list[bytes] | None = None  # to the pool, which may not have arrived yet
         self.commanded: tuple[int, int] = (0, 0)  # link and poll that it was sent before
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -26,6 +26,7 @@
 MOST_BEHIND = 64  # entries in the pool's mailbox: far more than a sweep brings
 TIMERS_A_TURN = 64  # fired before the mailbox is looked at again
 EXIT_TAKES = 120.0  # ms: from the last answers to the sweep that sees them written, and the exit itself
+OVERDUE = 30.0  # ms past a task's limit: the sweep before it has answered, and the page allows 150
 LEAVE_BEFORE = 40.0  # ms before the kill: what is not written by then will not be
 SUMMARY = 10_000.0  # ms between summary lines
 Act, Given = Callable[..., None], tuple[Any, ...]
@@ -116,7 +117,8 @@
             return
         now, arrived = self.now(), door - self.origin
         until = None if limit is None else arrived + limit
-        q = self.tasks.enter(Slot(name, kind, caller, rpc_id, content))
+        limit = max(now, arrived + self.node.stages[stage].limit if until is None else until)
+        q = self.tasks.enter(Slot(name, kind, caller, rpc_id, content, limit))
         original = None
         if mark is not None and self.node.stages[stage].effect == rules.FINGERPRINTED:
             original = self.prints.find(mark, door)
@@ -265,12 +267,22 @@
         if on_cores is not None:
             # Told as of now: a run that ended since the poll would pass for reading, and leave its core idle.
             on_cores += self.node.running - self.running_then
-        self.node.woke(self.now(), gauge("core_use"), on_cores)
+        try:
+            self.node.woke(self.now(), gauge("core_use"), on_cores)
+        finally:
+            self.last_resort(self.now() - OVERDUE)
         if self.idle_for < math.inf:
             self.doors.close_idle(self.idle_for)
         if self.leave_at < math.inf:
             self.leave_step()
 
+    def last_resort(self, before: float) -> None:
+        """Whatever went wrong above, no task is left without an answer."""
+        for slot in self.tasks.slots:
+            if slot is not None and not slot.answered and min(slot.until, self.node.kill) < before:
+                self.counts.note("must_hold_broken", what="answered_in_time", task=slot.name)
+                self.answer(slot, jsonrpc.abandoned(slot.rpc_id), "abandoned")
+
     # -- drain
 
     def notice(self, stop_ms: float, grace: float) -> None:
