--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -9,6 +9,7 @@
 from helpers import TOLD, Recorder
 
 from vetchford import module as under_test
+from vetchford.lifecycle import timers
 from vetchford.lifecycle.counts import Counts
 from vetchford.module import ModuleActor
 from vetchford.wire.pool import Pool
@@ -39,7 +40,8 @@
 
     def __init__(self, seed, monkeypatch):
         self.chance, self.now = random.Random(seed), 1_764_576_000_000.0
-        monkeypatch.setattr(under_test, "time", types.SimpleNamespace(time=lambda: self.now / 1000.0))
+        for part in (under_test, timers):
+            monkeypatch.setattr(part, "time", types.SimpleNamespace(time=lambda: self.now / 1000.0))
         self.module = ModuleActor(seed, {**TOLD, "requestClasses": CLASSES, "familyInfo": INFO}, Counts())
         self.pool = Pool(("", 0), self.module, Counts())
         self.pool.tell = self.sent
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -4,7 +4,6 @@
 calls the node, and the node calls back for what is to be done. Nothing here blocks on a socket.
 """
 
-import heapq
 import math
 import time
 from collections import deque
@@ -16,6 +15,8 @@
 from vetchford import rules, startup
 from vetchford.lifecycle.actor import Actor
 from vetchford.lifecycle.counts import Counts
+from vetchford.lifecycle.drain import Drain
+from vetchford.lifecycle.timers import Timers
 from vetchford.memory.fingerprints import Fingerprints
 from vetchford.memory.tasks import Slot, Tasks
 from vetchford.wire import jsonrpc, poollines
@@ -24,10 +25,7 @@
 
 POLL_AHEAD = 6.0  # ms before a wake: the gauges come back in under one, a busy machine takes a few
 MOST_BEHIND = 64  # entries in the pool's mailbox: far more than a sweep brings
-TIMERS_A_TURN = 64  # fired before the mailbox is looked at again
-EXIT_TAKES = 120.0  # ms: from the last answers to the sweep that sees them written, and the exit itself
 OVERDUE = 30.0  # ms past a task's limit: the sweep before it has answered, and the page allows 150
-LEAVE_BEFORE = 40.0  # ms before the kill: what is not written by then will not be
 SUMMARY = 10_000.0  # ms between summary lines
 Act, Given = Callable[..., None], tuple[Any, ...]
 RUNS, BEGUN = (rules.RUNNING,), (rules.RUNNING, rules.PARKED, rules.CALLING)
@@ -43,8 +41,7 @@
         self.calls: dict[int, int] = {}  # tasks by the number of their call; emptied as calls end or are cut
         self.begun: dict[int, float] = {}  # when they went out; emptied alike
         self.call_count = 0
-        self.timers: list[tuple[float, int, Act, Given]] = []  # a heap, emptied as they fire
-        self.timer_count = 0
+        self.timers, self.drain = Timers(), Drain()
         self.later: deque[tuple[Act, Given]] = deque()  # until the node's method returns
         self.node: rules.Node | None = None
         self.origin = 0.0  # Unix ms that the node's clock starts at
@@ -54,7 +51,6 @@
         self.gauges: list[float] = []
         self.running_then = 0  # the module's runs when the gauges were read
         self.idle_for = math.inf
-        self.kill, self.leave_at = math.inf, math.inf
         self.stopped = False
 
     def attach(self, pool: Any, records: Any, members: Any, doors: Any, stopped: Callable[[], None]) -> None:
@@ -66,20 +62,11 @@
     def now(self) -> float:
         return time.time() * 1000.0 - self.origin
 
-    def at(self, when: float, act: Callable[..., None], *given: Any) -> None:
-        """`when` in Unix ms."""
-        self.timer_count += 1
-        heapq.heappush(self.timers, (when, self.timer_count, act, given))
-
     def patience(self) -> float | None:
-        return max(0.0, self.timers[0][0] / 1000.0 - time.time()) if self.timers else None
+        return self.timers.patience()
 
     def idle(self) -> None:
-        for _ in range(TIMERS_A_TURN):
-            if not self.timers or self.timers[0][0] > time.time() * 1000.0:
-                return
-            _, _, act, given = heapq.heappop(self.timers)
-            self.guarded(act, *given)
+        self.timers.fire(self.guarded)
 
     def guarded(self, act: Callable[..., None], *given: Any) -> None:
         super().guarded(act, *given)
@@ -156,7 +143,7 @@
             self.origin = time.time() * 1000.0 - ago
             self.node = startup.build(self, self.seed, self.told, cold)
             log.info("pool_bound", cold=cold, started_ms_ago=round(ago))
-            self.at(time.time() * 1000.0 + SUMMARY, self.summarise)
+            self.timers.at(time.time() * 1000.0 + SUMMARY, self.summarise)
         self.poll()  # what is read before its answer is the replay
 
     def pool_lost(self) -> None:
@@ -273,7 +260,7 @@
             self.last_resort(self.now() - OVERDUE)
         if self.idle_for < math.inf:
             self.doors.close_idle(self.idle_for)
-        if self.leave_at < math.inf:
+        if self.drain.closes(time.time() * 1000.0):
             self.leave_step()
 
     def last_resort(self, before: float) -> None:
@@ -287,21 +274,18 @@
 
     def notice(self, stop_ms: float, grace: float) -> None:
         log.info("drain_begins", stop_ms=stop_ms, open=self.open_tasks())
-        now = time.time() * 1000.0
-        self.kill, self.leave_at = now + stop_ms, now + min(grace, 0.6 * stop_ms)
+        until = self.drain.begin(time.time() * 1000.0, stop_ms, grace)
         if self.node is None:
             self.end()
             return
-        self.node.leaving(self.now(), self.kill - self.origin - EXIT_TAKES)
+        self.node.leaving(self.now(), until - self.origin)
 
     def leave_step(self) -> None:
         """Past the grace nothing new is taken; once all is answered and written, the end."""
-        now = time.time() * 1000.0
-        if now >= self.leave_at:
-            self.doors.close()
-            if self.doors.done() and not self.open_tasks() or now > self.kill - LEAVE_BEFORE:
-                self.counts.must(not self.open_tasks(), "answered_before_the_stop")
-                self.end()
+        self.doors.close()
+        if self.drain.ends(time.time() * 1000.0, self.doors.done() and not self.open_tasks()):
+            self.counts.must(not self.open_tasks(), "answered_before_the_stop")
+            self.end()
 
     def end(self) -> None:
         if not self.stopped:
@@ -316,7 +300,7 @@
         self.counts.log_summary(
             open=self.open_tasks(), connections=len(self.doors.connections), known=len(self.tasks.by_name)
         )
-        self.at(time.time() * 1000.0 + SUMMARY, self.summarise)
+        self.timers.at(time.time() * 1000.0 + SUMMARY, self.summarise)
 
     # -- the host
 
@@ -377,7 +361,7 @@
         self.calls[slot.call], self.begun[slot.call] = q, self.now()
         until = self.origin + cut_at
         self.records.tell(self.records.op, slot.name, slot.call, until, slot.need[1])
-        self.at(until, self.call_cut, slot.call)
+        self.timers.at(until, self.call_cut, slot.call)
 
     def skip(self, q: int) -> None:
         slot = self.tasks[q]
@@ -414,5 +398,5 @@
 
     def wake(self, delay: float) -> None:
         when = time.time() * 1000.0 + delay
-        self.at(when - POLL_AHEAD, self.poll)
-        self.at(when, self.sweep)
+        self.timers.at(when - POLL_AHEAD, self.poll)
+        self.timers.at(when, self.sweep)
