SIGHUP rereads the configuration and moves pool, records and members under load

Ruled out: a fault of the peers' links (the log ends at the signal). At fault: lifecycle/server.py took only SIGTERM and SIGINT, so SIGHUP's default ended the program.

The file is read and checked whole; a wrong one is logged with its key and changes nothing. Each peer's actor is told its new address: the pool's link is shut and bound anew with the last notice read (a link that was being opened to the old address is dropped), new calls go to the new records service while those out end on their connection, reports go to the new membership service.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -222,6 +222,13 @@
         self.sock.close()
 
 
+def reports_here():
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind(("127.0.0.1", 0))
+    sock.settimeout(PATIENCE)
+    return sock
+
+
 class Running:
     """The whole server in a process of its own, in front of the stand-ins."""
 
@@ -232,22 +239,15 @@
     def __init__(self, folder, up=True, cold=False, records_up=True, stop_ms=8000, sockets=128, files=None,
                  listen="127.0.0.1:0", **told):
         self.pool, self.records = PoolPeer(cold, up), RecordsPeer(records_up)
-        self.members = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.members.bind(("127.0.0.1", 0))
-        self.members.settimeout(PATIENCE)
-        config = folder / "config.json"
-        config.write_text(json.dumps({
-            "name": "n1", "listen": listen, "pool": self.pool.address, "records": self.records.address,
-            "members": f"127.0.0.1:{self.members.getsockname()[1]}", "seed": "8c1f30d27a5be964",
-            "stop_ms": stop_ms, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-            "settings": {**TOLD, **told},
-        }))
+        self.members = reports_here()
+        self.config, self.stop_ms, self.sockets, self.told = folder / "config.json", stop_ms, sockets, told
+        self.write_config(listen)
         command = self.COMMAND
         if files:  # fewer descriptors than it is told of
             command = ("/bin/sh", "-c", f"ulimit -n {files}; exec {shlex.join(command)}")
         self.process = subprocess.Popen(
             command, stderr=subprocess.STDOUT, stdout=subprocess.PIPE, text=True,
-            env={**os.environ, "ROUTER_CONFIG": str(config)})
+            env={**os.environ, "ROUTER_CONFIG": str(self.config)})
         self.log = []
         for line in self.process.stdout:
             self.log.append(line)
@@ -261,6 +261,23 @@
             self.pool.take("bind")
             assert self.heard_report() == ["HB", "n1", "UP"]
 
+    def write_config(self, listen="127.0.0.1:0"):
+        self.config.write_text(json.dumps({
+            "name": "n1", "listen": listen, "pool": self.pool.address, "records": self.records.address,
+            "members": f"127.0.0.1:{self.members.getsockname()[1]}", "seed": "8c1f30d27a5be964",
+            "stop_ms": self.stop_ms, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "settings": {**TOLD, **self.told},
+        }))
+
+    def move(self):
+        """New stand-ins for all three peers, in which the pool's runs go on; told by SIGHUP. The old ones."""
+        old = self.pool, self.records, self.members
+        self.pool, self.records, self.members = PoolPeer(), RecordsPeer(), reports_here()
+        self.pool.notices, self.pool.number = old[0].notices, old[0].number
+        self.write_config()
+        self.process.send_signal(signal.SIGHUP)
+        return old
+
     def balancer(self):
         return Balancer(self.port)
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -224,6 +224,46 @@
         assert caller.hear()["result"] == {"serving": True}
 
 
+def test_a_new_configuration_moves_all_peers_under_load_and_a_wrong_one_changes_nothing(server):
+    caller = server.balancer()
+    job = caller.ask(1, "pay", unique=MARK)
+    old_pool = server.pool
+    old_pool.take("spawn")
+    for rpc_id in (2, 3):  # more than once
+        old_pool, old_records, _ = server.move()
+        assert server.pool.take("bind")[1]["n"] == old_pool.number  # the numbers go on
+        assert server.heard_report() == ["HB", "n1", "UP"]
+        server.pool.finish(job)
+        assert caller.hear()["id"] == rpc_id - 1
+        job = caller.ask(rpc_id)
+        server.pool.take("spawn")
+        server.pool.block(job)
+        server.records.take("OP")[3].sendall(b"%b DONE 1\r\n!\r\n" % job.encode())
+        server.pool.take("supply")
+        server.config.write_text('{"name": "n1"}')
+        server.process.send_signal(signal.SIGHUP)
+        assert old_pool.nothing_more("spawn") and old_records.nothing_more("OP")
+    server.pool.finish(job)
+    assert caller.hear()["id"] == 3
+    log = server.stop()
+    assert log.count("event=configuration_refused") == 2 and "key 'listen'" in log
+    assert log.count("moved=pool,records,members") == 2
+
+
+def test_a_call_that_is_out_when_the_records_service_moves_ends_on_its_old_connection(server):
+    caller = server.balancer()
+    job = caller.ask(1, "pay", unique=MARK)
+    server.pool.take("spawn")
+    server.pool.block(job)
+    line = server.records.take("OP")[3]
+    server.move()
+    server.pool.take("bind")
+    line.sendall(b"%b DONE 1\r\n!\r\n" % job.encode())
+    assert server.pool.take("supply")[1]["job"] == job
+    server.pool.finish(job)
+    assert "result" in caller.hear()
+
+
 def test_a_drain_answers_all_takes_nothing_late_and_leaves_with_0(server):
     caller = server.balancer()
     job = caller.ask(1)
--- a/vetchford/cli.py
+++ b/vetchford/cli.py
@@ -8,7 +8,8 @@
   vetchford (-h | --help | --version)
 
 Commands:
-  serve     run one server until SIGTERM or SIGINT, then answer all that is open and leave
+  serve     run one server until SIGTERM or SIGINT, then answer all that is open and leave;
+            on SIGHUP it reads the configuration anew and goes over to the addresses given there
   check     read the configuration as `serve` would and name the first key at fault; starts nothing
   settings  print what was understood of the configuration, as JSON
   version   print the version
@@ -29,6 +30,7 @@
 
 import json
 import sys
+from functools import partial
 
 from docopt import DocoptExit, docopt
 
@@ -48,8 +50,9 @@
     if asked["version"]:
         print(vetchford.__version__)
         return 0
+    load = partial(configuration.load, path=asked["--config"])
     try:
-        told = configuration.load(path=asked["--config"])
+        told = load()
     except MalformedError as problem:
         return complain(str(problem))
     if asked["check"]:
@@ -60,7 +63,7 @@
         return 0
     writer = logs.begin(asked["--log-level"], asked["--log-form"])
     try:
-        return server.serve(told)
+        return server.serve(told, load)
     finally:
         writer.close()
 
--- a/vetchford/wire/members.py
+++ b/vetchford/wire/members.py
@@ -18,6 +18,9 @@
         self.fit: bool | None = None  # nothing is reported before it is known
         self.next = 0.0
 
+    def move(self, address: tuple[str, int]) -> None:
+        self.address, self.next = address, 0.0
+
     def judge(self, fit: bool) -> None:
         self.fit, self.next = fit, 0.0
 
--- a/vetchford/wire/pool.py
+++ b/vetchford/wire/pool.py
@@ -24,6 +24,13 @@
         self.last = 0  # number of the last notice read
         self.link, self.sock = 0, None
 
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on the pool is met there; its runs and the numbers of its notices go on."""
+        if address != self.address:
+            self.address = address
+            if self.sock is not None:
+                shut(self.sock)  # its reader opens the next link
+
     def begin(self) -> None:
         super().begin()
         begin_thread(self.keep_link, "pool-reader", self.counts)
@@ -41,8 +48,9 @@
     def keep_link(self) -> None:
         pause = AGAIN
         while True:
+            address = self.address
             try:
-                sock = socket.create_connection(self.address, CONNECT)
+                sock = socket.create_connection(address, CONNECT)
             except OSError as problem:
                 self.counts.note("pool_refused", problem=str(problem))
                 time.sleep(pause)
@@ -54,7 +62,8 @@
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 send_parts(sock, poollines.bind(self.last))
                 self.link, self.sock = self.link + 1, sock
-                self.read(sock)
+                if address == self.address:  # else moved meanwhile: a link to the old place would never serve
+                    self.read(sock)
             except (OSError, UnfollowableError) as problem:
                 why = f"{type(problem).__name__}: {problem}"
             except Exception as problem:
@@ -63,7 +72,8 @@
             sock.close()
             self.counts.note("pool_link_lost", why=why, last=self.last)
             self.module.tell(self.module.pool_lost)
-            time.sleep(pause)
+            if address == self.address:
+                time.sleep(pause)
 
     def read(self, sock: socket.socket) -> None:
         inbox = Inbox(2 * poollines.MOST_LINE)
--- a/vetchford/wire/records.py
+++ b/vetchford/wire/records.py
@@ -25,6 +25,16 @@
         self.line: Line | None = None  # the connection that new calls go on
         self.retired: list[Line] = []  # those that still have calls; emptied as they break
 
+    def move(self, address: tuple[str, int]) -> None:
+        """New calls go there; those that are out end on the connection they went out on."""
+        if address == self.address:
+            return
+        self.address = address
+        if self.line is not None:
+            self.line.retire()
+            self.retired.append(self.line)
+            self.line = None
+
     def op(self, name: str, number: int, until: float, body: bytes) -> None:
         wait = int(until - time.time() * 1000.0)
         if wait < 1:
