Bad clients shut nobody out: silent connections wait without threads, each kind is answered

A sample of the CPU by thread: 1,001 threads when clients connect by the hundred, 40 % of a core in the system; perf puts two thirds of that into stopping and resuming threads, since the limit on the processor pauses the process many times a second and each thread costs time at each pause. Ruled out: reading of messages (166 a second), the decisions (under a tenth of the samples), thread creation alone (1.3 ms a connection).

At fault and mended: - memory/fingerprints by `unique` alone: another body got a stored result. The entry goes by stage, key and a digest of the body; what the pool never ran leaves no entry. - wire/balancers.py held two threads for each connection for ever: one with nothing to say now waits in wire/lobby.py (epoll, one thread), threads come from a crew that shrinks again; a new connection owes its first word in 1 s, 0.2 s in a crowd, a begun message its end in 1.5 s; past half the table the longest idle are asked to close. - Messages without an id got nothing: now an error. Eight bad messages, or a task that the pool doesn't know, end the connection; its held tasks are refused.

--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -89,7 +89,7 @@
     def arrive(self, door, mark, kind):
         rpc_id = len(self.requests) + 1
         name = f"{rpc_id:016x}"
-        self.requests[rpc_id] = {"name": name, "mark": mark, "door": door, "body": f"body {name}"}
+        self.requests[rpc_id] = {"name": name, "mark": mark, "door": door, "body": f"body {mark or name}"}
         self.do(
             self.module.request,
             self,
@@ -104,7 +104,7 @@
             50.0,
             20.0,
             mark,
-            base64.b64encode(f"body {name}".encode()).decode(),
+            base64.b64encode(f"body {mark or name}".encode()).decode(),
         )
 
     def do(self, act, *given):
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 import socket
+import time
 
 import pytest
 from helpers import TOLD, Balancer, Running
@@ -76,7 +77,7 @@
 
 def test_a_repeat_from_behind_the_window_by_its_door_is_a_task_of_its_own(server):
     caller = server.balancer()
-    job = caller.ask(1, "pay", txn="b1", unique=MARK, door=1000.0 * 1764576000)
+    job = caller.ask(1, "pay", txn="b1", unique=MARK, door=time.time() * 1000.0 - 70_000.0)
     first = caller.hear()  # too old to be run: rejected, and its fingerprint forgotten
     assert first["error"]["code"] == -32050
     job = caller.ask(2, "pay", txn="b2", unique=MARK)
@@ -201,6 +202,7 @@
     server.pool.take("spawn")
     server.pool.say({"type": "unknown", "state": "spawn", "job": "e2"})
     assert caller.hear()["error"]["code"] == -32051  # no end of it will ever be told
+    caller = server.balancer()
     caller.ask(3, txn="e3")
     server.pool.take("spawn")
     server.pool.notice("finished", "e3", state="complete", took="long", data=None)
@@ -307,12 +309,13 @@
 
 
 def test_a_balancer_that_reads_nothing_holds_up_itself_alone(server):
-    mute, caller = server.balancer(), server.balancer()
+    mute = server.balancer()
     mute.sock.settimeout(0.2)  # s: for each write; how many fit does not matter
     check = b'{"jsonrpc":"2.0","id":1,"method":"check"}'
     with contextlib.suppress(OSError):
         for _ in range(400):
             mute.raw((b"Content-Length: %d\r\n\r\n%b" % (len(check), check)) * 1000)
+    caller = server.balancer()
     job = caller.ask(1)
     server.pool.take("spawn")
     server.pool.finish(job)
@@ -380,6 +383,7 @@
     (b"\xff\xfe", -32700, None),
     (b"[" * 4000, -32700, None),
     (b'{"jsonrpc":"2.0","id":NaN,"method":"read"}', -32700, None),
+    ({"jsonrpc": "2.0", "method": "read", "params": GOOD}, -32600, None),
     ([], -32600, None),
     ([{"jsonrpc": "2.0", "id": 7, "method": "check"}], -32600, None),
     ({"jsonrpc": "2.0", "id": True, "method": "read"}, -32600, None),
@@ -391,17 +395,21 @@
     *(({"jsonrpc": "2.0", "id": 7, "method": "read", "params": {**GOOD, **wrong}}, -32602, 7)
       for wrong in ({"txn": None}, {"txn": "a b"}, {"door": "1"}, {"door": None}, {"team": "nobody"},
                     {"content": "?"}, {"content": None}, {"content": "A" * 4000}, {"ram": -1},
-                    {"limit": 1e99}, {"unique": 5}, {"cpu": True}, {"lb": []})),
+                    {"limit": 1e99}, {"unique": 5}, {"cpu": True}, {"lb": []}, {"ram": None}, {"ram": 0},
+                    {"ram": 2500}, {"standing": -0.5}, {"standing": "0"}, {"door": -1}, {"door": 9e14})),
 ]
 
 
 def test_bad_messages_are_answered_by_their_codes_and_the_connection_goes_on(server):
-    caller = server.balancer()
-    for message, code, rpc_id in BAD:
+    for at, (message, code, rpc_id) in enumerate(BAD):
+        if at % 5 == 0:  # a few on each connection: it stands no more
+            caller = server.balancer()
+        if isinstance(message, dict) and message.get("params") and message["params"].get("door") == 1.0:
+            message = {**message, "params": {**message["params"], "door": time.time() * 1000.0}}
         caller.send(message)
         heard = caller.hear()
         assert (heard["error"]["code"], heard["id"]) == (code, rpc_id), message
-    caller.send({"jsonrpc": "2.0", "method": "read"})  # a notification: nothing is owed
+    caller = server.balancer()
     caller.ask(8)
     server.pool.take("spawn")
     caller.ask(8, txn="ab")  # under this id an answer would pass for the open task's
@@ -412,6 +420,67 @@
     assert "result" in caller.hear()
 
 
+def test_a_connection_that_brings_one_bad_message_after_another_is_closed(server):
+    caller = server.balancer()
+    caller.ask(1)
+    server.pool.take("spawn")
+    for _ in range(20):
+        caller.send(b"{}")
+    heard = [caller.hear() for _ in range(10)]
+    assert [message.get("method") for message in heard] == [None] * 9 + ["closing"]
+    server.pool.finish(f"{1:016x}")
+    assert caller.hear()["id"] == 1 and caller.hear() is None
+
+
+def test_the_key_of_another_body_brings_nobody_that_task_s_result(server):
+    caller, bad = server.balancer(), server.balancer()
+    job = caller.ask(1, "pay", txn="a1", unique=MARK)
+    server.pool.take("spawn")
+    bad.ask(1, "pay", txn="a2", unique=MARK, content="YmFk")
+    assert server.pool.take("spawn")[1]["job"] == "a2"  # no repeat; the pool knows no such task
+    server.pool.say({"type": "unknown", "state": "spawn", "job": "a2"})
+    assert bad.hear()["error"]["code"] == -32051
+    server.pool.finish(job, b"paid")
+    assert content(caller.hear()) == b"paid"
+    server.balancer().ask(1, "pay", txn="a3", unique=MARK, content="YmFk")
+    assert server.pool.take("spawn")[1]["job"] == "a3"  # what never ran has left nothing to share
+
+
+def test_who_sends_what_the_pool_does_not_know_is_refused_the_rest_and_closed(server):
+    caller, bad = server.balancer(), server.balancer()
+    for rpc_id in range(1, 6):
+        bad.ask(rpc_id, txn=f"b{rpc_id}")
+    for _ in range(2):  # one on each core, the others are held
+        server.pool.take("spawn")
+    caller.ask(1, txn="c1")
+    server.pool.say({"type": "unknown", "state": "spawn", "job": "b1"})
+    heard = [bad.hear() for _ in range(5)]
+    assert sorted(m["error"]["code"] for m in heard if "id" in m) == [-32051, -32050, -32050, -32050]
+    assert [m["method"] for m in heard if "method" in m] == ["closing"]
+    assert server.pool.take("spawn")[1]["job"] == "c1"
+    server.pool.say({"type": "unknown", "state": "spawn", "job": "b2"})
+    assert bad.hear()["error"]["code"] == -32051 and bad.hear() is None
+
+
+@pytest.mark.parametrize("said", [b"", b"Content-Le", b"Content-Length: 70\r\n\r\n{"])
+def test_who_says_nothing_or_half_a_message_is_closed(server, said):
+    caller = server.balancer()
+    caller.raw(said)
+    while caller.hear() is not None:
+        pass
+
+
+def test_silent_connections_shut_no_balancer_out(tmp_path):
+    with Running(tmp_path, sockets=40) as server:
+        silent = [server.balancer() for _ in range(60)]  # more than may be open
+        caller = server.balancer()
+        caller.ask(1)
+        server.pool.take("spawn")
+        server.pool.finish(f"{1:016x}")
+        assert caller.hear()["id"] == 1
+        del silent
+
+
 @pytest.mark.parametrize("head", [b"\r\n\r\n", b"Content-Type: x\r\n\r\n", b"Content-Length: -5\r\n\r\n",
                                   b"Content-Length: 2\r\nContent-Length: 2\r\n\r\n{}", b"x" * 5000,
                                   b"Content-Length: 999999999999\r\n\r\n", b"Content-Length: 100000\r\n\r\n"])
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -116,6 +116,16 @@
     assert told == [(0.9, 2.0)]  # one reads, as at the poll
 
 
+def test_figures_that_no_caller_can_mean_neither_hold_a_task_for_hours_nor_outweigh_the_others():
+    module, peer = ModuleActor(7, TOLD, Counts()), Recorder()
+    module.attach(peer, peer, peer, peer, lambda: None)
+    peer.mailbox = queue.SimpleQueue()
+    module.bound(1, False, 5000.0)
+    module.request(peer, 1, "ab", 0, "read", -1, 0, module.origin + module.now(), 1e9, 1e9, 1.0, None, "")
+    task = module.node.tasks[0]
+    assert task.work == 60_000.0 and task.limit - task.arrived <= 60_000.1
+
+
 def test_a_task_that_the_decisions_lose_is_answered_all_the_same():
     module, peer = ModuleActor(7, TOLD, Counts()), Recorder()
     module.attach(peer, peer, peer, peer, lambda: None)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -183,7 +183,7 @@
         try:
             if pick == 4:
                 _, rpc_id, params = jsonrpc.decode(bytes(text))
-                jsonrpc.request_fields(params, rpc_id)
+                jsonrpc.request_fields(params, rpc_id, 1.0)
             else:
                 takers[pick](poollines.decode(bytes(text))[1])
             good += 1
--- a/vetchford/lifecycle/actor.py
+++ b/vetchford/lifecycle/actor.py
@@ -1,5 +1,7 @@
 """Mailboxes, and the threads that empty them."""
 
+import _thread
+import contextlib
 import threading
 import time
 from collections.abc import Callable
@@ -8,7 +10,10 @@
 
 from vetchford.lifecycle.counts import Counts
 
-MOST_BEHIND = 2000  # entries, of 3 KB at most: a tenth of a second of work, and some MB
+MOST_BEHIND = 500  # entries, of 3 KB at most: a tenth of a second of work, and a MB or two
+A_BATCH = 16  # entries before `idle`: what they bring is written at once, and no timer waits for long
+REST = 0.5  # s that a thread of the crew waits for work before it ends
+LINGER = 0.03  # s that an actor of the crew keeps its thread with nothing to do
 
 
 def begin_thread(act: Callable[[], None], name: str, counts: Counts) -> None:
@@ -44,19 +49,30 @@
 
     def run(self) -> None:
         while self.running:
-            try:
-                act, given = self.mailbox.get(timeout=self.patience())
+            self.batch(self.patience())
+
+    def batch(self, patience: float | None) -> bool:
+        """What the mailbox holds, up to a batch, then `idle`; whether there was anything."""
+        take, count = self.mailbox.get, 0
+        try:
+            act, given = take(timeout=patience)
+            while True:
+                count += 1
                 self.guarded(act, *given)
-            except Empty:
-                pass
-            self.guarded(self.idle)
+                if count == A_BATCH:
+                    break
+                act, given = take(False)
+        except Empty:
+            pass
+        self.guarded(self.idle)
+        return count > 0
 
     def patience(self) -> float | None:
         """Seconds until `idle` is due; None for never."""
         return None
 
     def idle(self) -> None:
-        """Called after each entry and whenever patience runs out."""
+        """Called after each batch of entries and whenever patience runs out."""
 
     def guarded(self, act: Callable[..., None], *given: Any) -> None:
         # One entry that goes wrong must not end the thread, and with it the server.
@@ -64,3 +80,74 @@
             act(*given)
         except Exception as problem:
             self.counts.broke(self.name, problem)
+
+
+class Crew:
+    """Threads that serve whoever needs one, and end when they are not needed for a while.
+
+    Where a machine is paused and resumed many times a second, as under a limit of its processor, each thread
+    costs time at each pause: only what has something to do may have one.
+    """
+
+    def __init__(self, counts: Counts) -> None:
+        self.counts, self.lock = counts, threading.Lock()
+        self.jobs: SimpleQueue[Callable[[], None]] = SimpleQueue()
+        self.free = 0  # threads that wait for a job, less the jobs that wait for a thread
+
+    def run(self, act: Callable[[], None]) -> None:
+        with self.lock:
+            self.free -= 1
+            if self.free >= 0:
+                self.jobs.put(act)
+                return
+        try:
+            _thread.start_new_thread(self.serve, (act,))
+        except RuntimeError as problem:  # none to be had just now: the next that has done its work takes it
+            self.counts.note("no_thread", problem=str(problem))
+            self.jobs.put(act)
+            return
+        with self.lock:
+            self.free += 1
+
+    def serve(self, act: Callable[[], None]) -> None:
+        while True:
+            try:
+                act()
+            except Exception as problem:
+                with contextlib.suppress(Exception):  # a debug build raises it again: the thread goes on
+                    self.counts.broke("crew", problem)
+            with self.lock:
+                self.free += 1
+            try:
+                act = self.jobs.get(timeout=REST)
+            except Empty:
+                with self.lock:
+                    if self.jobs.empty():
+                        self.free -= 1
+                        return
+                act = self.jobs.get()
+
+
+class CrewedActor(Actor):
+    """Has a thread of the crew only while there is something in its mailbox, and shortly after."""
+
+    def __init__(self, name: str, counts: Counts, crew: Crew) -> None:
+        super().__init__(name, counts)
+        self.crew, self.lock, self.awake = crew, threading.Lock(), False
+
+    def tell(self, act: Callable[..., None], *given: Any) -> None:
+        self.mailbox.put((act, given))
+        if not self.awake:
+            with self.lock:
+                first, self.awake = not self.awake, True
+            if first:
+                self.crew.run(self.run)
+
+    def run(self) -> None:
+        while self.running:
+            if not self.batch(LINGER):
+                with self.lock:
+                    self.awake = False  # before the last look: whoever puts an entry now wakes it again
+                    if self.mailbox.empty():
+                        return
+                    self.awake = True
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -4,6 +4,7 @@
 calls the node, and the node calls back for what is to be done. Nothing here blocks on a socket.
 """
 
+import hashlib
 import math
 import time
 from collections import deque
@@ -102,12 +103,17 @@
             )
             caller.answer(rpc_id, jsonrpc.error(rpc_id, jsonrpc.INVALID_PARAMS, "field 'txn' is in use"))
             return
-        now, arrived = self.now(), door - self.origin
-        until = None if limit is None else arrived + limit
-        limit = max(now, arrived + self.node.stages[stage].limit if until is None else until)
+        now, arrived, told = self.now(), door - self.origin, self.node.stages[stage]
+        # No caller waits for longer than the time limit, nor asks for more work than fits into it: one that
+        # says so must neither be held for hours nor outweigh all others in what is learnt.
+        until = None if limit is None else arrived + min(limit, told.limit)
+        work = None if work is None else min(work, told.limit)
+        limit = max(now, arrived + told.limit if until is None else until)
         q = self.tasks.enter(Slot(name, kind, caller, rpc_id, content, limit))
         original = None
-        if mark is not None and self.node.stages[stage].effect == rules.FINGERPRINTED:
+        if mark is not None and told.effect == rules.FINGERPRINTED:
+            # All tries of a task carry the same body: under its key with another one this is no repeat of it.
+            mark = f"{stage} {mark} {hashlib.blake2b(content.encode(), digest_size=16).hexdigest()}"
             original = self.prints.find(mark, door)
             self.marks[q] = mark
             if original is not None:
@@ -182,8 +188,19 @@
 
     def command_unknown(self, command: str, name: str) -> None:
         self.counts.note("pool_unknown", command=command, task=name)
-        if command == "spawn" and name in self.tasks.by_name:  # no end of this run will ever be told
+        q = self.tasks.by_name.get(name)
+        if command == "spawn" and q is not None:  # no end of this run will ever be told
+            caller = self.tasks[q].caller
+            self.refuse_held(caller)  # before this end frees a core for the next of its like
             self.run_ended(name, "superseded", 0.0, "")
+            caller.tell(caller.distrust)
+
+    def refuse_held(self, caller: Any) -> None:
+        """It sent what never came by the balancers: the rest of it is held for nobody."""
+        for q, slot in enumerate(self.tasks.slots):
+            if slot is not None and slot.caller is caller and not slot.answered and q in self.node.held:
+                self.answer(slot, jsonrpc.rejected(slot.rpc_id, True, 0.0), "rejected_distrusted")
+                self.node.gone(self.now(), q)
 
     def run_blocked(self, name: str, notice: int, body: bytes) -> None:
         q = self.known(name, RUNS)
@@ -221,6 +238,8 @@
             self.records.tell(self.records.unop, name, slot.call)
             del self.calls[slot.call], self.begun[slot.call]
             slot.call = 0
+        if code == "superseded":  # never ran: a true task under its fingerprint is no repeat of it
+            self.prints.drop(q)
         self.finish(q, code, content)
         followers = self.prints.end(q, code == "completed", content)
         self.node.ended(self.now(), q, code, took)
@@ -310,14 +329,16 @@
             self.counts.add(outcome)
             slot.caller.answer(slot.rpc_id, parts)
 
-    def command(self, slot: Slot, parts: list[bytes]) -> None:
+    def command(self, slot: Slot, parts: list[bytes], once: bool = False) -> None:
         slot.command, slot.commanded = parts, (0, 0)  # not sent
         if self.ready:
-            # The poll behind it is answered in well under a ms. What is not confirmed when a link breaks is
-            # sent again, and might start anew a run that ends just then: else all of the last 50 ms.
             slot.commanded = (self.link, self.polls)
-            self.polls += 1
-            self.pool.tell(self.pool.send, self.link, parts + poollines.poll(f"{self.link}-{self.polls}"))
+            if once:
+                # A poll behind it is answered in well under a ms. What is not confirmed when a link breaks is
+                # sent again, and might start anew a run that ends just then; others may run anew.
+                self.polls += 1
+                parts = parts + poollines.poll(f"{self.link}-{self.polls}")
+            self.pool.tell(self.pool.send, self.link, parts)
 
     def poll(self) -> None:
         if self.pool.mailbox.qsize() > MOST_BEHIND:  # a paused pool gets no heap of polls
@@ -327,7 +348,8 @@
 
     def start(self, q: int) -> None:
         slot = self.tasks[q]
-        self.command(slot, poollines.spawn(slot.name, slot.kind, slot.content))
+        once = self.node.tasks[q].stage.effect != rules.RESTARTABLE
+        self.command(slot, poollines.spawn(slot.name, slot.kind, slot.content), once)
 
     def stop(self, q: int) -> None:
         """The protocol has no command for it yet: the run goes on to its end, which changes no answer."""
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -1,52 +1,97 @@
 """Balancers: the door where they connect, and an actor for each connection."""
 
 import contextlib
+import math
 import socket
 import threading
 import time
 from typing import Any
 
-from vetchford.lifecycle.actor import Actor, begin_thread
+from vetchford.lifecycle.actor import Crew, CrewedActor
 from vetchford.lifecycle.counts import Counts
 from vetchford.wire import jsonrpc
 from vetchford.wire.inbox import Inbox, UnfollowableError
-from vetchford.wire.sockets import send_parts, shut
+from vetchford.wire.lobby import Lobby
+from vetchford.wire.sockets import send_parts, shut, time_limit
 
 MOST_OPEN = 64  # tasks: twice the page's 32, as one that nobody waits for is open here until it is answered
 MOST_REPLIES = 64  # to checks and bad messages, waiting to be written, before reading waits for them
-CLOSES_IN = 0.5  # s after `closing`: balancers close at once, and what crosses a close comes within 50 ms
+MOST_WRONG = 8  # bad messages on one connection: balancers send none, and each costs as much as a good one
+MOST_PASSED = 1 << 20  # bytes passed over behind a stream that can't be followed, where nothing is open
+TICK = 0.03  # s that a reader waits for the next word before it leaves the connection to the lobby
+FIRST_IN = 1.0  # s for a new connection to begin to speak, where there is room; balancers connect to speak
+CROWDED_IN = 0.2  # s for the same in a crowd; a balancer whose first message is shut out has lost no task
+WHOLE_IN = 1.5  # s from the first byte of a message to its last; balancers write one at once
+WRITE_IN = 10.0  # s that a peer may leave its answers unread; far over a pause of its machine
+IDLE = 10.0  # s that a connection with nothing open is kept, also where the decisions keep it for longer
+CLOSES_IN = 2.0  # s after `closing`: balancers close by themselves, and one that is paused hears it late
+DRAINED_IN = 0.5  # s after `closing`, in a drain: what crosses a close comes within 50 ms
+CROWDED = 0.5  # of the table, past which idle connections go; balancers may open as many
 BACKLOG = 512
 BUFFER = 2 * (jsonrpc.MOST_HEAD + jsonrpc.MOST_BODY)
 
 
-class Connection(Actor):
-    """Its reader hands tasks to the module; its writer, the actor's own thread, writes answers.
+class Connection(CrewedActor):
+    """Its reader hands tasks to the module; its writer, the actor, writes answers.
 
-    `open` holds the ids that are read and whose answers haven't left; a closed connection has none.
+    `open` holds the ids that are read and whose answers haven't left; a closed connection has none. One that
+    has nothing to say and nothing to be told has no thread: the lobby waits for it.
     """
 
     def __init__(self, sock: socket.socket, doors: "Doors", counts: Counts) -> None:
-        super().__init__("connection", counts)
+        super().__init__("connection", counts, doors.crew)
         self.sock, self.doors, self.module = sock, doors, doors.module
         self.open: set[int | str] = set()
         self.used = time.monotonic()
+        self.heard = False  # whether a whole message ever came
+        self.wrong = 0  # bad messages so far
+        self.distrusted = False
         self.broken = self.read_all = self.ending = self.writing = False
         self.asked = 0.0  # when it was asked to close; 0: not yet
+        self.out: list[bytes] = []  # written after the batch
         self.room = threading.BoundedSemaphore(MOST_REPLIES)
 
-    def begin(self) -> None:
-        super().begin()
-        begin_thread(self.read, "connection-reader", self.counts)
-
     # -- the reader
 
     def read(self) -> None:
-        inbox = Inbox(BUFFER)
+        """Until the peer says nothing for a tick; then the lobby waits for its next word."""
+        if self.read_on():
+            self.doors.lobby.come_back(self)
+        else:
+            self.read_to_end()
+
+    def read_last(self) -> None:
+        """It stayed too long; what has come meanwhile is taken all the same, and answered."""
+        with contextlib.suppress(OSError):
+            time_limit(self.sock, socket.SO_RCVTIMEO, 0.001)
+            self.read_on()
+        if not self.heard:
+            self.counts.add("connections_silent")
+        self.read_to_end()
+
+    def read_on(self) -> bool:
+        """Takes what comes; False once nothing more will."""
         try:
-            while count := self.sock.recv_into(inbox.space()):
+            inbox, begun = Inbox(BUFFER), math.inf
+            while True:
+                try:
+                    count = self.sock.recv_into(inbox.space())
+                except BlockingIOError:  # silent for a tick
+                    if inbox.start == inbox.end:
+                        return True
+                    if time.monotonic() - begun > WHOLE_IN:
+                        raise UnfollowableError("a message was begun and not ended") from None
+                    continue
+                if not count:
+                    return False
                 inbox.fed(count)
                 while (body := jsonrpc.next_body(inbox)) is not None:
                     self.take(body)
+                    begun = math.inf  # what follows is the next one
+                now = time.monotonic()
+                begun = min(begun, now) if inbox.start < inbox.end else math.inf
+                if now - begun > WHOLE_IN:
+                    raise UnfollowableError("a message comes too slowly")
         except UnfollowableError as problem:
             self.counts.note("balancer_unfollowable", problem=str(problem))
             self.reply(jsonrpc.error(None, jsonrpc.INVALID_REQUEST, str(problem)))
@@ -57,8 +102,21 @@
         except Exception as problem:
             self.broken = True
             self.counts.broke("connection-reader", problem)
-        finally:
-            self.read_to_end()
+        return False
+
+    def overstays(self, now: float) -> bool:
+        """Whether the lobby is to let it go; one that is idle is asked to close first."""
+        if self.open:
+            return False
+        crowded = self.doors.crowded()
+        if not self.heard:
+            return now - self.used > (CROWDED_IN if crowded else FIRST_IN)
+        if self.asked:
+            return self.done(now, DRAINED_IN if crowded else CLOSES_IN)
+        if now - self.used > IDLE:
+            self.counts.add("connections_asked_to_close")
+            self.tell(self.ask_to_close)
+        return False
 
     def read_to_end(self) -> None:
         if self.broken:
@@ -67,22 +125,32 @@
 
     def pass_over(self) -> None:
         # Closed with bytes unread the system would reset it, and answers on their way would be lost.
-        waste = bytearray(4096)
+        waste, passed = bytearray(16_384), 0
         try:
-            while self.sock.recv_into(waste):
-                pass
+            while self.open or passed < MOST_PASSED:
+                try:
+                    count = self.sock.recv_into(waste)
+                except BlockingIOError:
+                    if not self.open:
+                        return
+                    continue
+                if not count:
+                    return
+                passed += count
         except OSError:
             self.broken = True
 
     def take(self, body: memoryview) -> None:
-        self.used = time.monotonic()
+        self.used, self.heard = time.monotonic(), True
+        if self.distrusted:
+            raise UnfollowableError("its tasks are unknown to the worker pool")
         try:
             method, rpc_id, params = jsonrpc.decode(body)
             if rpc_id in self.open:
                 raise jsonrpc.BadMessageError(jsonrpc.INVALID_REQUEST, f"id {rpc_id} is in use")
-            if rpc_id is None:
-                self.counts.add("balancer_notifications")  # nothing is owed to them
-            elif method == "check":
+            if rpc_id is None:  # the protocol has no calls that nobody waits for: whoever sent it is told
+                raise jsonrpc.BadMessageError(jsonrpc.INVALID_REQUEST, "field 'id' is missing")
+            if method == "check":
                 self.reply(jsonrpc.checked(rpc_id, self.doors.fit))
             else:
                 self.request(method, rpc_id, params)
@@ -91,6 +159,9 @@
             # Under the id of an open task this would pass for its answer.
             rpc_id = None if problem.rpc_id in self.open else problem.rpc_id
             self.reply(jsonrpc.error(rpc_id, problem.code, str(problem)))
+            self.wrong += 1
+            if self.wrong >= MOST_WRONG:
+                raise UnfollowableError("too many bad messages") from None
 
     def request(self, method: str, rpc_id: int | str, params: dict) -> None:
         stage = self.doors.stages.get(method)
@@ -100,7 +171,9 @@
             raise jsonrpc.BadMessageError(jsonrpc.INVALID_REQUEST, "field 'id' is no number", rpc_id)
         if len(self.open) >= MOST_OPEN:
             raise jsonrpc.BadMessageError(jsonrpc.INVALID_REQUEST, f"over {MOST_OPEN} tasks are open", rpc_id)
-        name, door, limit, caller, team, work, kb, mark, content = jsonrpc.request_fields(params, rpc_id)
+        name, door, limit, caller, team, work, kb, mark, content = jsonrpc.request_fields(
+            params, rpc_id, time.time() * 1000.0
+        )
         tenant = -1 if team is None else self.doors.tenants.get(team)
         if tenant is None:
             raise jsonrpc.BadMessageError(jsonrpc.INVALID_PARAMS, "field 'team' names no tenant", rpc_id)
@@ -133,7 +206,9 @@
         """The final answer of an open task; called by the module."""
         self.tell(self.write_answer, rpc_id, parts)
 
-    def write(self, parts: list[bytes]) -> None:
+    def write(self) -> None:
+        """All that a batch of entries brought, in one gathered write."""
+        parts, self.out = self.out, []
         if self.broken:
             return
         try:
@@ -146,17 +221,23 @@
     def write_answer(self, rpc_id: int, parts: list[bytes]) -> None:
         self.writing = True
         self.open.discard(rpc_id)  # before it leaves: the balancer may send the next one at once
-        self.write(parts)
-        self.used, self.writing = time.monotonic(), False
+        self.out += parts
 
     def write_reply(self, parts: list[bytes]) -> None:
-        self.write(parts)
+        self.out += parts
         self.room.release()
 
     def ask_to_close(self) -> None:
         if not self.asked:
+            self.out += jsonrpc.closing()
+            self.write()
             self.asked = time.monotonic()
-            self.write(jsonrpc.closing())
+
+    def distrust(self) -> None:
+        """Its tasks are none that came by the balancers: nothing more is read from it."""
+        self.distrusted = True
+        self.end_after_answers()
+        shut(self.sock, socket.SHUT_RD)
 
     def end_after_answers(self) -> None:
         self.ask_to_close()
@@ -165,12 +246,16 @@
     def read_out(self) -> None:
         self.read_all = True
 
-    def done(self, now: float) -> bool:
+    def done(self, now: float, closes_in: float) -> bool:
         """Asked to close some time ago, with nothing left to be read or written."""
         quiet = not self.open and not self.writing and self.mailbox.empty()
-        return self.broken or quiet and 0.0 < self.asked < now - CLOSES_IN
+        return self.broken or quiet and 0.0 < self.asked < now - closes_in
 
     def idle(self) -> None:
+        if self.out:
+            self.write()
+            self.used = time.monotonic()
+        self.writing = False
         if not self.mailbox.empty() or self.open and not self.broken:
             return
         if self.ending:
@@ -186,6 +271,7 @@
     """The listening socket, and all connections that came through it; a thread accepts."""
 
     SPARE = 16  # descriptors for all but balancers: nine are usual, more while given-up calls linger
+    CROWDED_EVERY = 0.05  # s: how often a full table looks for connections that may go
 
     def __init__(
         self,
@@ -197,6 +283,8 @@
         counts: Counts,
     ) -> None:
         self.stages, self.tenants, self.module, self.counts = stages, tenants, module, counts
+        self.crew = Crew(counts)
+        self.lobby = Lobby(self.crew)
         self.most = max(1, most - self.SPARE)
         self.fit = False
         self.connections: set[Connection] = set()
@@ -209,14 +297,17 @@
         self.sock.listen(BACKLOG)
 
     def begin(self) -> None:
+        self.lobby.begin()
         threading.Thread(target=self.accept, name="doors", daemon=True).start()
 
     def accept(self) -> None:
         while not self.shutting:
-            self.free.acquire()  # at the limit newcomers wait in the backlog, until one leaves
+            while not self.free.acquire(timeout=self.CROWDED_EVERY):  # newcomers wait in the backlog
+                if self.shutting:
+                    return
+                self.make_room()
             try:
                 sock, _ = self.sock.accept()
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             except OSError as problem:
                 self.free.release()
                 if not self.shutting:
@@ -226,11 +317,19 @@
             self.enter(sock)
 
     def enter(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        time_limit(sock, socket.SO_RCVTIMEO, TICK)
+        time_limit(sock, socket.SO_SNDTIMEO, WRITE_IN)
         connection = Connection(sock, self, self.counts)
         with self.lock:
             self.connections.add(connection)
         self.counts.add("connections_accepted")
-        connection.begin()
+        self.lobby.enter(connection)
+        if self.crowded():
+            self.make_room()
+
+    def crowded(self) -> bool:
+        return len(self.connections) > CROWDED * self.most
 
     def left(self, connection: Connection) -> None:
         with self.lock:
@@ -238,6 +337,17 @@
                 self.connections.remove(connection)
                 self.free.release()
 
+    def make_room(self) -> None:
+        """Asks the longest idle to close: some ask once and stay for ever, and balancers need the room."""
+        now = time.monotonic()
+        with self.lock:
+            staying = [c for c in self.connections if not c.asked]
+        idle = [c for c in staying if c.heard and not c.open and now - c.used > CROWDED_IN]
+        beyond = len(staying) - int(CROWDED * self.most)
+        for connection in sorted(idle, key=lambda c: c.used)[: max(0, beyond)]:
+            self.counts.add("connections_asked_to_close")
+            connection.tell(connection.ask_to_close)
+
     def close_idle(self, keep_for: float) -> None:
         """Asks the balancers to close what was silent for this long, in ms."""
         now = time.monotonic()
@@ -251,8 +361,6 @@
             if not connection.asked:
                 self.counts.add("connections_asked_to_close")
                 connection.tell(connection.ask_to_close)
-            elif connection.done(now):
-                shut(connection.sock)
 
     def close(self) -> None:
         """Takes in what has connected already, and nothing more; then asks all to close."""
@@ -273,4 +381,4 @@
         """Whether all that came through it is answered and closed, or could be."""
         now = time.monotonic()
         with self.lock:
-            return all(connection.done(now) for connection in self.connections)
+            return all(connection.done(now, DRAINED_IN) for connection in self.connections)
--- a/vetchford/wire/inbox.py
+++ b/vetchford/wire/inbox.py
@@ -6,10 +6,13 @@
 
 
 class Inbox:
-    """A buffer of fixed size: `space` to read into, `start` to `end` the bytes that wait."""
+    """A buffer that grows up to `most`: `space` to read into, `start` to `end` the bytes that wait."""
 
-    def __init__(self, size: int) -> None:
-        self.bytes = bytearray(size)
+    FIRST = 4096  # bytes: most messages fit, and hundreds of silent connections cost little
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.bytes = bytearray(min(self.FIRST, most))
         self.view = memoryview(self.bytes)
         self.start = self.end = 0
 
@@ -22,7 +25,11 @@
             self.bytes[:kept] = self.bytes[self.start : self.end]
             self.start, self.end = 0, kept
         if self.end == len(self.bytes):
-            raise UnfollowableError("a message is longer than it may be")
+            if self.end >= self.most:
+                raise UnfollowableError("a message is longer than it may be")
+            # Parts taken before are views of the old bytes, and stay good.
+            self.bytes = self.bytes + bytearray(min(self.most, 2 * self.end) - self.end)
+            self.view = memoryview(self.bytes)
         return self.view[self.end :]
 
     def fed(self, count: int) -> None:
--- a/vetchford/wire/jsonrpc.py
+++ b/vetchford/wire/jsonrpc.py
@@ -11,6 +11,9 @@
 MOST_HEAD = 1024  # bytes; one short line is expected
 MOST_BODY = 8192  # bytes; 2 KiB in base64 are 2,732, the other fields a few hundred
 MOST_CONTENT = 2048  # bytes of a task's body
+MOST_RAM = 2000.0  # KB that a task may book, by the page
+DOOR_PAST = 120_000.0  # ms: far over any time limit and any pause of a machine
+DOOR_AHEAD = 1000.0  # ms: both clocks are the same machine's; more would give a task time that it hasn't
 MOST_NESTED = 32  # brackets in a body; the messages need two, and the parser's stack is small
 
 PARSE_ERROR, INVALID_REQUEST, METHOD_NOT_FOUND, INVALID_PARAMS = -32700, -32600, -32601, -32602
@@ -114,12 +117,13 @@
     return value
 
 
-def request_fields(params: dict[str, Any], rpc_id: int | str | None) -> tuple[Any, ...]:
-    """Of a task: id, door and patience in ms, caller, tenant, work in ms, KB, fingerprint, body."""
+def request_fields(params: dict[str, Any], rpc_id: int | str | None, now: float) -> tuple[Any, ...]:
+    """Of a task that is read `now`, in Unix ms: id, door, patience, caller, tenant, work, KB, mark, body."""
     txn = needed(word(params, "txn", 64, rpc_id), "txn", rpc_id)
     if not txn.isalnum():  # it goes into the lines of other services as it is
         raise BadMessageError(INVALID_PARAMS, "field 'txn' is no id", rpc_id)
-    door = needed(number(params, "door", 0.0, 1e15, rpc_id), "door", rpc_id)
+    door = needed(number(params, "door", now - DOOR_PAST, now + DOOR_AHEAD, rpc_id), "door", rpc_id)
+    number(params, "standing", 0.0, 1.0, rpc_id)
     content = params.get("content")
     if not isinstance(content, str):
         raise BadMessageError(INVALID_PARAMS, "field 'content' is missing or no string", rpc_id)
@@ -135,7 +139,7 @@
         int(number(params, "lb", 0.0, 1e9, rpc_id) or 0),
         word(params, "team", 256, rpc_id),
         number(params, "cpu", 0.0, 1e9, rpc_id),
-        number(params, "ram", 0.0, 1e6, rpc_id) or 0.0,
+        needed(number(params, "ram", 1e-6, MOST_RAM, rpc_id), "ram", rpc_id),
         word(params, "unique", 128, rpc_id),
         content,
     )
--- a/vetchford/wire/pool.py
+++ b/vetchford/wire/pool.py
@@ -23,6 +23,8 @@
         self.address, self.module = address, module
         self.last = 0  # number of the last notice read
         self.link, self.sock = 0, None
+        self.out: list[bytes] = []  # emptied behind each batch of entries
+        self.out_for = 0  # the link that it is for
 
     def move(self, address: tuple[str, int]) -> None:
         """From now on the pool is met there; its runs and the numbers of its notices go on."""
@@ -36,8 +38,15 @@
         begin_thread(self.keep_link, "pool-reader", self.counts)
 
     def send(self, link: int, parts: list[bytes]) -> None:
-        sock = self.sock
-        if sock is None or link != self.link:
+        if link != self.out_for:
+            self.out, self.out_for = [], link
+        self.out += parts
+
+    def idle(self) -> None:
+        """All that a batch brought in one write."""
+        parts, self.out = self.out, []
+        sock = self.sock  # looked at before the link, which is counted up first: never the next one's
+        if not parts or sock is None or self.out_for != self.link:
             return  # the module sends it again on the next link where it still matters
         try:
             send_parts(sock, parts)
--- a/vetchford/wire/sockets.py
+++ b/vetchford/wire/sockets.py
@@ -2,10 +2,16 @@
 
 import contextlib
 import socket
+import struct
 
 MOST_PARTS = 512  # half of what the system takes in one call
 
 
+def time_limit(sock: socket.socket, option: int, seconds: float) -> None:
+    """The system's own limit for one way of a blocking socket; past it a call raises BlockingIOError."""
+    sock.setsockopt(socket.SOL_SOCKET, option, struct.pack("ll", int(seconds), int(seconds % 1.0 * 1e6)))
+
+
 def send_parts(sock: socket.socket, parts: list[bytes]) -> None:
     """Writes all of it; a short write goes on where it ended."""
     at = 0
