A connection for each call: a spoilt reply costs its own call, the next call meets no stray bytes

Ruled out by the logs: calls cut by us (none), refused connections (none). At fault: wire/records.py carried all calls on one connection, so whatever spoilt it severed all; a second copy of a reply could also pass for that task's next call.

Each call now has a line of its own. A line is used again only within 0.5 s of its reply, with nothing more come on it, never for a task that had a call on it, and never for a call that must not be made again: there a reset of a forgotten connection would prove nothing. What we give up is told by UNOP and by closing. Connecting happens in the line's thread, so a service that takes no connections holds up no other call.

--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -60,7 +60,7 @@
     def tell(self, act, *given):
         act(*given)
 
-    def op(self, name, number, until, body):
+    def op(self, name, number, until, body, once):
         run = self.runs[name]
         assert run["state"] == "blocked" and body == run["ask"], "a call that no run waits for"
         assert run["asked"] not in run["called"], "a call made again that may have run"
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -136,6 +136,55 @@
         assert server.records.nothing_more("OP")
 
 
+@pytest.mark.parametrize("spoilt", [b"\xff\0?\r\n", b"x" * 999, b"%b DONE 2\r\nlonger\r\n",
+                                    b"%b DONE 3000000000\r\n" + b"x" * 99_999, b"%b DONE -1\r\n\r\n"])
+def test_a_spoilt_reply_costs_its_own_call_and_no_other(server, spoilt):
+    caller = server.balancer()
+    jobs = [caller.ask(n, "pay", txn=f"s{n}", unique=f"{n:032x}") for n in (1, 2)]
+    lines = []
+    for job in jobs:
+        server.pool.take("spawn")
+        server.pool.block(job)
+        lines.append(server.records.take("OP")[3])
+    lines[0].sendall(spoilt.replace(b"%b", b"s1"))
+    assert caller.hear()["error"]["code"] == -32051  # it may have had its effect
+    lines[1].sendall(b"s2 DONE 1\r\n!\r\n")
+    assert server.pool.take("supply")[1]["job"] == "s2"
+    server.pool.finish("s2")
+    assert caller.hear()["id"] == 2
+
+
+@pytest.mark.parametrize("more", [b"t1 DONE 5\r\nfirst\r\n", b"other WAIT\r\n", b"t1 DO"])
+def test_more_than_a_call_s_reply_reaches_no_later_call(server, more):
+    caller = server.balancer()
+    caller.ask(1, txn="t1")
+    server.pool.take("spawn")
+    server.pool.block("t1")
+    line = server.records.take("OP")[3]
+    line.sendall(b"other DONE 2\r\nno\r\nt1 DONE 5\r\nfirst\r\n" + more)
+    assert base64.b64decode(server.pool.take("supply")[1]["data"]) == b"first"
+    server.pool.block("t1")
+    later = server.records.take("OP")[3]
+    assert later is not line
+    later.sendall(b"t1 DONE 6\r\nsecond\r\n")
+    assert base64.b64decode(server.pool.take("supply")[1]["data"]) == b"second"
+
+
+def test_a_connection_that_the_service_closed_early_is_not_used_again(server):
+    caller = server.balancer()
+    for job in ("v1", "v2"):
+        caller.ask(int(job[1]), txn=job)
+        server.pool.take("spawn")
+        server.pool.block(job)
+        _, name, _, line = server.records.take("OP")
+        assert name == job
+        line.sendall(b"%b DONE 1\r\n!\r\n" % job.encode())
+        line.shutdown(socket.SHUT_RDWR)
+        server.pool.take("supply")
+        server.pool.finish(job)
+        caller.hear()
+
+
 def test_calls_that_nobody_takes_are_made_when_the_service_is_back(tmp_path):
     with Running(tmp_path, records_up=False) as server:
         caller = server.balancer()
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -382,7 +382,8 @@
         slot.call = self.call_count
         self.calls[slot.call], self.begun[slot.call] = q, self.now()
         until = self.origin + cut_at
-        self.records.tell(self.records.op, slot.name, slot.call, until, slot.need[1])
+        once = self.node.tasks[q].stage.effect != rules.RESTARTABLE
+        self.records.tell(self.records.op, slot.name, slot.call, until, slot.need[1], once)
         self.timers.at(until, self.call_cut, slot.call)
 
     def skip(self, q: int) -> None:
--- a/vetchford/wire/records.py
+++ b/vetchford/wire/records.py
@@ -1,161 +1,156 @@
-"""The records service: calls over a shared connection, told apart by number."""
+"""The records service: a connection for each call that is out, so that what spoils one costs no other."""
 
 import socket
-import threading
 import time
+from collections import deque
+from contextlib import suppress
 from typing import Any
 
-from vetchford.lifecycle.actor import Actor, begin_thread
+from vetchford.lifecycle.actor import Actor, Crew, CrewedActor
 from vetchford.lifecycle.counts import Counts
 from vetchford.wire import recordlines
 from vetchford.wire.inbox import Inbox, UnfollowableError
 from vetchford.wire.sockets import send_parts, shut
 
-IDLE = 8.0  # s: the service closes after 10; a call written into such a close would prove nothing
+FRESH = 0.5  # s since its last reply that a connection is used again: idle ones are closed or forgotten early
+KEPT = 8  # connections that wait for their next call
+MOST_OUT = 48  # calls at once, for the sake of descriptors; more wait for their turn
 CONNECT = 1.0  # s: a connection that isn't accepted by then is taken as refused; no call was sent on it
-MOST_GIVEN_UP = 1000  # on one connection, before calls move to a new one
 
 
 class Records(Actor):
-    """Writes calls as told; a thread reads each connection. Ends of calls go to `module.call_ended`."""
+    """Gives each call a line of its own. Ends of calls go to `module.call_ended`."""
 
     def __init__(self, address: tuple[str, int], module: Any, counts: Counts) -> None:
         super().__init__("records", counts)
-        self.address, self.module = address, module
-        self.line: Line | None = None  # the connection that new calls go on
-        self.retired: list[Line] = []  # those that still have calls; emptied as they break
+        self.address, self.module, self.crew = address, module, Crew(counts)
+        self.free: list[Line] = []  # the last used at the end; emptied by use and by a move
+        self.out: dict[int, Line] = {}  # by the number of their call; emptied as it ends or is given up
+        self.waiting: deque[tuple[str, int, float, bytes, bool]] = deque()  # emptied as lines come free
 
     def move(self, address: tuple[str, int]) -> None:
         """New calls go there; those that are out end on the connection they went out on."""
-        if address == self.address:
+        if address != self.address:
+            self.address = address
+            while self.free:
+                self.close(self.free.pop())
+
+    def op(self, name: str, number: int, until: float, body: bytes, once: bool) -> None:
+        """`once`: a call that must not be made again unless it never ran; `until` in Unix ms."""
+        if len(self.out) >= MOST_OUT:
+            self.waiting.append((name, number, until, body, once))
             return
-        self.address = address
-        if self.line is not None:
-            self.line.retire()
-            self.retired.append(self.line)
-            self.line = None
-
-    def op(self, name: str, number: int, until: float, body: bytes) -> None:
-        wait = int(until - time.time() * 1000.0)
-        if wait < 1:
-            return  # the module has cut it, or is about to: it was never sent
-        line = self.line
-        if line is None or line.worn(name):
-            line = self.connect()
-            if line is None:
-                self.module.tell(self.module.call_ended, number, "refused_conn", b"")
-                return
-        line.write(name, number, recordlines.op(name, wait, body))
-
-    def connect(self) -> "Line | None":
-        try:
-            sock = socket.create_connection(self.address, CONNECT)
-            sock.settimeout(None)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError as problem:
-            self.counts.note("records_refused", problem=str(problem))
-            return None
-        self.retired = [line for line in self.retired if not line.broken]
-        if self.line is not None:
-            self.line.retire()
-            self.retired.append(self.line)
-        self.line = Line(sock, self)
-        begin_thread(self.line.read, "records-reader", self.counts)
-        self.counts.add("records_connected")
-        return self.line
+        line = self.out[number] = self.line_for(name, once)
+        line.tell(line.exchange, name, number, until, body)
+
+    def line_for(self, name: str, once: bool) -> "Line":
+        # On a connection that was idle a reset may mean that it was forgotten, and that the call never ran.
+        # That proves nothing: what may not be made again goes on a new one.
+        while self.free and not once:
+            line = self.free.pop()
+            if line.good_for(name):
+                return line
+            self.close(line)
+        return Line(self)
+
+    def ended(self, number: int, line: "Line", good: bool) -> None:
+        self.out.pop(number, None)
+        if good and line.address == self.address and len(self.free) < KEPT:
+            self.free.append(line)
+        else:
+            self.close(line)
+        while self.waiting and len(self.out) < MOST_OUT:
+            self.op(*self.waiting.popleft())
 
     def unop(self, name: str, number: int) -> None:
-        for line in (self.line, *self.retired):
-            if line is not None:
-                line.give_up(name, number)
-
-
-class Line:
-    """One connection. `calls` is emptied by replies, by what is given up and by the end of the connection."""
-
-    def __init__(self, sock: socket.socket, records: Records) -> None:
-        self.sock, self.records = sock, records
-        self.lock = threading.Lock()
-        self.calls: dict[str, int] = {}
-        self.given_up: set[str] = set()  # whose replies may still come; ends with the connection
-        self.used, self.broken, self.retired = time.monotonic(), False, False
-
-    def worn(self, name: str) -> bool:
-        """Whether a call for this task needs another connection: a late reply would pass for its own."""
-        idle = not self.calls and time.monotonic() - self.used > IDLE
-        late = name in self.given_up or name in self.calls
-        return self.broken or late or idle or len(self.given_up) > MOST_GIVEN_UP
-
-    def write(self, name: str, number: int, parts: list[bytes]) -> None:
-        with self.lock:
-            self.calls[name] = number
-            broken = self.broken
-        self.used = time.monotonic()
-        if broken:  # found out between the look and now: nothing was sent
-            self.calls.pop(name, None)
-            self.records.module.tell(self.records.module.call_ended, number, "refused_conn", b"")
-            return
+        line = self.out.pop(number, None)
+        if line is not None:
+            line.give_up(name)
+        else:
+            self.waiting = deque(entry for entry in self.waiting if entry[1] != number)
+
+    def close(self, line: "Line") -> None:
+        line.tell(line.end)
+
+
+class Line(CrewedActor):
+    """One connection, and at most one call at a time."""
+
+    def __init__(self, records: Records) -> None:
+        super().__init__("records-line", records.counts, records.crew)
+        self.records, self.address = records, records.address
+        self.sock: socket.socket | None = None
+        self.inbox = Inbox(recordlines.MOST_REPLY + 2 * recordlines.MOST_LINE)
+        self.had: set[str] = set()  # tasks with a call on it before: a second copy would pass for their next
+        self.used, self.given_up = 0.0, False
+
+    def good_for(self, name: str) -> bool:
+        """Whether a call may follow the last one: soon after it, and with nothing come of itself."""
+        if name in self.had or time.monotonic() - self.used > FRESH or self.sock is None:
+            return False
         try:
-            send_parts(self.sock, parts)
-        except OSError as problem:
-            self.end(f"write: {problem}")
-
-    def give_up(self, name: str, number: int) -> None:
-        with self.lock:
-            if self.calls.get(name) != number:
-                return
-            del self.calls[name]
-            self.given_up.add(name)
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False  # closed by the service, or more has come than was asked for
+
+    def exchange(self, name: str, number: int, until: float, body: bytes) -> None:
+        module, counts = self.records.module, self.records.counts
+        code, reply = "severed", b""  # unless it is known better: it may have run
         try:
-            send_parts(self.sock, recordlines.unop(name))
+            code, reply = self.call(name, until, body)
+        except UnfollowableError as problem:
+            if not self.given_up:
+                counts.note("records_spoilt", why=str(problem))
         except OSError as problem:
-            self.end(f"write: {problem}")
-
-    def retire(self) -> None:
-        """No new calls; closed with its last reply."""
-        with self.lock:
-            self.retired = True
-            done = not self.calls
-        if done:
-            shut(self.sock)
-
-    def read(self) -> None:
-        inbox, why = Inbox(recordlines.MOST_REPLY + 2 * recordlines.MOST_LINE), "closed"
-        try:
-            while True:
-                count = self.sock.recv_into(inbox.space())
-                if not count:
-                    break
-                inbox.fed(count)
-                while (reply := recordlines.next_reply(inbox)) is not None:
-                    self.take(*reply)
-        except (OSError, UnfollowableError) as problem:
-            why = f"{type(problem).__name__}: {problem}"
+            if not self.given_up:
+                counts.note("records_link_lost", why=f"{type(problem).__name__}: {problem}")
         except Exception as problem:
-            self.records.counts.broke("records-reader", problem)
+            counts.broke("records-line", problem)
         finally:
-            self.end(why)
-            self.sock.close()
-
-    def take(self, name: str, code: str, body: memoryview | None) -> None:
-        with self.lock:
-            number = self.calls.pop(name, None)
-            done = self.retired and not self.calls
-        self.used = time.monotonic()
-        if number is None:
-            self.records.counts.add("records_late_replies")
-        else:
-            module = self.records.module
-            module.tell(module.call_ended, number, code, bytes(body or b""))
-        if done:
+            if code and not self.given_up:
+                module.tell(module.call_ended, number, code, reply)
+            self.used = time.monotonic()
+            good = code in ("completed", "saturated", "errored") and self.inbox.start == self.inbox.end
+            self.records.tell(self.records.ended, number, self, good and not self.given_up)
+
+    def call(self, name: str, until: float, body: bytes) -> tuple[str, bytes]:
+        if self.sock is None:
+            try:
+                sock = socket.create_connection(self.address, CONNECT)
+                sock.settimeout(None)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            except OSError as problem:
+                self.records.counts.note("records_refused", problem=str(problem))
+                return "refused_conn", b""
+            self.sock = sock
+            self.records.counts.add("records_connected")
+        wait = int(until - time.time() * 1000.0)
+        if wait < 1 or self.given_up:
+            return "", b""  # the module has cut it, or is about to: it was never sent
+        self.had.add(name)
+        send_parts(self.sock, recordlines.op(name, wait, body))
+        while True:
+            while (reply := recordlines.next_reply(self.inbox)) is not None:
+                if reply[0] == name:
+                    return reply[1], bytes(reply[2] or b"")
+                self.records.counts.add("records_late_replies")  # it is for no call that is out here
+            count = self.sock.recv_into(self.inbox.space())
+            if not count:
+                raise ConnectionResetError("closed")
+            self.inbox.fed(count)
+
+    def give_up(self, name: str) -> None:
+        """From the records service's actor, while the line's own thread waits for the reply."""
+        self.given_up = True
+        if self.sock is not None:
+            with suppress(OSError):  # a full or broken connection: its end gives the call up as well
+                self.sock.sendmsg(recordlines.unop(name), [], socket.MSG_DONTWAIT)
             shut(self.sock)
 
-    def end(self, why: str) -> None:
-        with self.lock:
-            self.broken = True
-            severed, self.calls = self.calls, {}
-        if severed or why != "closed":
-            self.records.counts.note("records_link_lost", why=why, calls=len(severed))
-        for number in severed.values():
-            self.records.module.tell(self.records.module.call_ended, number, "severed", b"")
-        shut(self.sock)
+    def end(self) -> None:
+        self.running = False
+        if self.sock is not None:
+            self.sock.close()
