Few readers that never wait, however many connections speak; over 64 open is no bad message

Over 64 open is now a refusal. Readers take what has come and go back to the crew, 24 at most; begun messages stay with their connection, the lobby judges their time; ends of connections need no thread. A stale event no longer ends the lobby.

--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -508,6 +508,16 @@
     assert server.pool.take("spawn")[1]["job"] == "a3"  # what never ran has left nothing to share
 
 
+def test_a_balancer_with_more_open_than_it_waits_for_is_refused_and_keeps_its_connection(server):
+    caller = server.balancer()
+    for rpc_id in range(1, 65 + 20):  # the last twenty are too many; as bad messages they would end it
+        caller.ask(rpc_id)
+    refused = [caller.hear() for _ in range(20)]
+    assert {message["error"]["code"] for message in refused} == {-32050}
+    server.pool.finish(server.pool.take("spawn")[1]["job"])
+    assert "result" in caller.hear()
+
+
 def test_who_sends_what_the_pool_does_not_know_is_refused_the_rest_and_closed(server):
     caller, bad = server.balancer(), server.balancer()
     for rpc_id in range(1, 6):
--- a/vetchford/lifecycle/actor.py
+++ b/vetchford/lifecycle/actor.py
@@ -88,26 +88,34 @@
     costs time at each pause: only what has something to do may have one.
     """
 
-    def __init__(self, counts: Counts) -> None:
-        self.counts, self.lock = counts, threading.Lock()
+    def __init__(self, counts: Counts, most: int) -> None:
+        self.counts, self.lock, self.most = counts, threading.Lock(), most
+        self.threads = 0
         self.jobs: SimpleQueue[Callable[[], None]] = SimpleQueue()
         self.free = 0  # threads that wait for a job, less the jobs that wait for a thread
 
     def run(self, act: Callable[[], None]) -> None:
         with self.lock:
             self.free -= 1
-            if self.free >= 0:
+            if self.free >= 0 or self.threads >= self.most:
                 self.jobs.put(act)
                 return
+            self.threads += 1
         try:
             _thread.start_new_thread(self.serve, (act,))
         except RuntimeError as problem:  # none to be had just now: the next that has done its work takes it
             self.counts.note("no_thread", problem=str(problem))
-            self.jobs.put(act)
+            with self.lock:
+                self.threads -= 1
+                self.jobs.put(act)
             return
         with self.lock:
             self.free += 1
 
+    def roomy(self) -> bool:
+        """Whether a thread may wait a little without keeping others from theirs."""
+        return self.jobs.empty() and self.threads < self.most // 2
+
     def serve(self, act: Callable[[], None]) -> None:
         while True:
             try:
@@ -123,6 +131,7 @@
                 with self.lock:
                     if self.jobs.empty():
                         self.free -= 1
+                        self.threads -= 1
                         return
                 act = self.jobs.get()
 
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -193,7 +193,7 @@
             caller = self.tasks[q].caller
             self.refuse_held(caller)  # before this end frees a core for the next of its like
             self.run_ended(name, "superseded", 0.0, "")
-            caller.tell(caller.distrust)
+            caller.do(caller.distrust)
 
     def refuse_held(self, caller: Any) -> None:
         """It sent what never came by the balancers: the rest of it is held for nobody."""
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -17,8 +17,11 @@
 MOST_OPEN = 64  # tasks: twice the page's 32, as one that nobody waits for is open here until it is answered
 MOST_REPLIES = 64  # to checks and bad messages, waiting to be written, before reading waits for them
 MOST_WRONG = 8  # bad messages on one connection: balancers send none, and each costs as much as a good one
+PASSED_IN = 0.5  # s of it, where nothing is open
 MOST_PASSED = 1 << 20  # bytes passed over behind a stream that can't be followed, where nothing is open
-TICK = 0.03  # s that a reader waits for the next word before it leaves the connection to the lobby
+TICK = 0.03  # s that a reader waits for the next word of a peer it has served, where threads are plenty
+READERS = 24  # threads: each is needed for a message's time only, and a storm of connections starts no more
+WRITERS = 64  # threads: only for peers that are slow to read, each for 10 s at most
 FIRST_IN = 1.0  # s for a new connection to begin to speak, where there is room; balancers connect to speak
 CROWDED_IN = 0.2  # s for the same in a crowd; a balancer whose first message is shut out has lost no task
 WHOLE_IN = 1.5  # s from the first byte of a message to its last; balancers write one at once
@@ -46,6 +49,10 @@
         self.heard = False  # whether a whole message ever came
         self.wrong = 0  # bad messages so far
         self.distrusted = False
+        self.inbox: Inbox | None = None  # while a message is begun
+        self.begun = math.inf  # when it was
+        self.passing, self.passed = False, 0  # over a stream that can't be followed
+        self.served = self.last = False
         self.broken = self.read_all = self.ending = self.writing = False
         self.asked = 0.0  # when it was asked to close; 0: not yet
         self.out: list[bytes] = []  # written after the batch
@@ -54,7 +61,7 @@
     # -- the reader
 
     def read(self) -> None:
-        """Until the peer says nothing for a tick; then the lobby waits for its next word."""
+        """Until nothing more has come; then the lobby waits for the next word."""
         if self.read_on():
             self.doors.lobby.come_back(self)
         else:
@@ -62,52 +69,73 @@
 
     def read_last(self) -> None:
         """It stayed too long; what has come meanwhile is taken all the same, and answered."""
-        with contextlib.suppress(OSError):
-            time_limit(self.sock, socket.SO_RCVTIMEO, 0.001)
-            self.read_on()
+        if self.begun < math.inf and not self.passing:
+            self.turn_out("a message was begun and not ended")
+        self.last = True
+        self.read_on()
         if not self.heard:
             self.counts.add("connections_silent")
         self.read_to_end()
 
     def read_on(self) -> bool:
-        """Takes what comes; False once nothing more will."""
+        """Takes what has come; False once nothing more will."""
         try:
-            inbox, begun = Inbox(BUFFER), math.inf
             while True:
+                inbox = self.inbox = self.inbox or Inbox(BUFFER)
+                waits = self.served and not self.last and self.doors.readers.roomy()
                 try:
-                    count = self.sock.recv_into(inbox.space())
-                except BlockingIOError:  # silent for a tick
-                    if inbox.start == inbox.end:
-                        return True
-                    if time.monotonic() - begun > WHOLE_IN:
-                        raise UnfollowableError("a message was begun and not ended") from None
-                    continue
+                    count = self.sock.recv_into(inbox.space(), 0, 0 if waits else socket.MSG_DONTWAIT)
+                except BlockingIOError:
+                    break
                 if not count:
                     return False
+                if self.passing:
+                    self.passed += count
+                    if not self.open and self.passed > MOST_PASSED:
+                        return False
+                    continue
                 inbox.fed(count)
-                while (body := jsonrpc.next_body(inbox)) is not None:
-                    self.take(body)
-                    begun = math.inf  # what follows is the next one
-                now = time.monotonic()
-                begun = min(begun, now) if inbox.start < inbox.end else math.inf
-                if now - begun > WHOLE_IN:
-                    raise UnfollowableError("a message comes too slowly")
-        except UnfollowableError as problem:
-            self.counts.note("balancer_unfollowable", problem=str(problem))
-            self.reply(jsonrpc.error(None, jsonrpc.INVALID_REQUEST, str(problem)))
-            self.tell(self.end_after_answers)
-            self.pass_over()
+                try:
+                    while (body := jsonrpc.next_body(inbox)) is not None:
+                        self.take(body)
+                        self.begun = math.inf  # what follows is the next one
+                except UnfollowableError as problem:
+                    self.turn_out(str(problem))
+                    inbox.start = inbox.end = 0
+                    continue
+                self.begun = min(self.begun, time.monotonic()) if inbox.start < inbox.end else math.inf
+            if self.begun == math.inf:
+                self.inbox = None  # hundreds of idle ones keep no buffers
+            return True
         except OSError:
             self.broken = True
+        except UnfollowableError as problem:
+            self.turn_out(str(problem))
         except Exception as problem:
             self.broken = True
             self.counts.broke("connection-reader", problem)
         return False
 
+    def turn_out(self, why: str) -> None:
+        """Says so, and passes over what still comes until all that is open is answered.
+
+        Closed with bytes unread the system would reset it, and answers on their way would be lost.
+        """
+        self.counts.note("balancer_unfollowable", problem=why)
+        self.passing, self.begun = True, math.inf
+        self.used = time.monotonic()
+        if self.room.acquire(blocking=False):
+            self.do(self.write_reply, jsonrpc.error(None, jsonrpc.INVALID_REQUEST, why))
+        self.do(self.end_after_answers)
+
     def overstays(self, now: float) -> bool:
         """Whether the lobby is to let it go; one that is idle is asked to close first."""
+        if now - self.begun > WHOLE_IN:
+            return True
         if self.open:
             return False
+        if self.passing:
+            return now - self.used > PASSED_IN
         crowded = self.doors.crowded()
         if not self.heard:
             return now - self.used > (CROWDED_IN if crowded else FIRST_IN)
@@ -115,30 +143,13 @@
             return self.done(now, DRAINED_IN if crowded else CLOSES_IN)
         if now - self.used > IDLE:
             self.counts.add("connections_asked_to_close")
-            self.tell(self.ask_to_close)
+            self.do(self.ask_to_close)
         return False
 
     def read_to_end(self) -> None:
         if self.broken:
             self.module.tell(self.module.caller_gone, self)
-        self.tell(self.read_out)
-
-    def pass_over(self) -> None:
-        # Closed with bytes unread the system would reset it, and answers on their way would be lost.
-        waste, passed = bytearray(16_384), 0
-        try:
-            while self.open or passed < MOST_PASSED:
-                try:
-                    count = self.sock.recv_into(waste)
-                except BlockingIOError:
-                    if not self.open:
-                        return
-                    continue
-                if not count:
-                    return
-                passed += count
-        except OSError:
-            self.broken = True
+        self.do(self.read_out)
 
     def take(self, body: memoryview) -> None:
         self.used, self.heard = time.monotonic(), True
@@ -170,7 +181,10 @@
         if not isinstance(rpc_id, int):
             raise jsonrpc.BadMessageError(jsonrpc.INVALID_REQUEST, "field 'id' is no number", rpc_id)
         if len(self.open) >= MOST_OPEN:
-            raise jsonrpc.BadMessageError(jsonrpc.INVALID_REQUEST, f"over {MOST_OPEN} tasks are open", rpc_id)
+            # Not a bad message: a balancer that has given up many here, unheard, may send as many more.
+            self.counts.add("rejected_over_open")
+            self.reply(jsonrpc.rejected(rpc_id, False, 0.0))
+            return
         name, door, limit, caller, team, work, kb, mark, content = jsonrpc.request_fields(
             params, rpc_id, time.time() * 1000.0
         )
@@ -196,8 +210,9 @@
         )
 
     def reply(self, parts: list[bytes]) -> None:
-        """Says at once what no task waits for; a peer that doesn't read its replies is not read on."""
-        self.room.acquire()
+        """Says at once what no task waits for; the connection of a peer that doesn't read it ends."""
+        if not self.room.acquire(blocking=False):
+            raise ConnectionError("replies are not read")
         self.do(self.write_reply, parts)
 
     # -- the writer
@@ -231,12 +246,14 @@
         except OSError:
             self.lost()
         self.writing = bool(self.out)
+        if not self.out:
+            self.finish_up()
 
     def left(self) -> bool:
-        return bool(self.out) or self.ending or self.read_all
+        return bool(self.out)
 
     def write_answer(self, rpc_id: int, parts: list[bytes]) -> None:
-        self.writing = True
+        self.writing = self.served = True
         self.open.discard(rpc_id)  # before it leaves: the balancer may send the next one at once
         self.out += parts
 
@@ -247,7 +264,6 @@
     def ask_to_close(self) -> None:
         if not self.asked:
             self.out += jsonrpc.closing()
-            self.write()
             self.asked = time.monotonic()
 
     def distrust(self) -> None:
@@ -273,12 +289,16 @@
             self.write()
             self.used = time.monotonic()
         self.writing = False
+        self.finish_up()
+
+    def finish_up(self) -> None:
+        """The end, once nothing is open or left to be said."""
         if not self.mailbox.empty() or self.open and not self.broken:
             return
         if self.ending:
             self.ending = False
             shut(self.sock, socket.SHUT_WR)
-        if self.read_all:
+        if self.read_all and self.running:
             self.running = False
             self.sock.close()
             self.doors.left(self)
@@ -299,8 +319,8 @@
         counts: Counts,
     ) -> None:
         self.stages, self.tenants, self.module, self.counts = stages, tenants, module, counts
-        self.crew = Crew(counts)
-        self.lobby = Lobby(self.crew)
+        self.crew, self.readers = Crew(counts, WRITERS), Crew(counts, READERS)
+        self.lobby = Lobby(self.readers)
         self.most = most
         self.fit = False
         self.connections: set[Connection] = set()
@@ -362,7 +382,7 @@
         beyond = len(staying) - int(CROWDED * self.most)
         for connection in sorted(idle, key=lambda c: c.used)[: max(0, beyond)]:
             self.counts.add("connections_asked_to_close")
-            connection.tell(connection.ask_to_close)
+            connection.do(connection.ask_to_close)
 
     def close_idle(self, keep_for: float) -> None:
         """Asks the balancers to close what was silent for this long, in ms."""
@@ -376,7 +396,7 @@
         for connection in idle:
             if not connection.asked:
                 self.counts.add("connections_asked_to_close")
-                connection.tell(connection.ask_to_close)
+                connection.do(connection.ask_to_close)
 
     def close(self) -> None:
         """Takes in what has connected already, and nothing more; then asks all to close."""
@@ -391,7 +411,7 @@
         with self.lock:
             asked = [connection for connection in self.connections if not connection.asked]
         for connection in asked:
-            connection.tell(connection.ask_to_close)
+            connection.do(connection.ask_to_close)
 
     def done(self) -> bool:
         """Whether all that came through it is answered and closed, or could be."""
--- a/vetchford/wire/lobby.py
+++ b/vetchford/wire/lobby.py
@@ -33,14 +33,23 @@
         self.epoll.modify(descriptor, select.EPOLLIN | select.EPOLLONESHOT)
 
     def watch(self) -> None:
-        look = 0.0
+        self.look_at = 0.0
         while True:
-            for descriptor, _ in self.epoll.poll(EVERY, A_TURN):
-                self.crew.run(self.waiting.pop(descriptor).read)
-            now = time.monotonic()
-            if now >= look:
-                look = now + EVERY
-                for descriptor, connection in list(self.waiting.items()):
-                    if connection.overstays(now):
-                        # Read once more: what it said since is not cut off.
-                        self.crew.run(self.waiting.pop(descriptor).read_last)
+            try:
+                self.turn()
+            except Exception as problem:
+                self.crew.counts.broke("lobby", problem)
+
+    def turn(self) -> None:
+        for descriptor, _ in self.epoll.poll(EVERY, A_TURN):
+            connection = self.waiting.pop(descriptor, None)
+            if connection is not None:  # else it is just being let go
+                self.crew.run(connection.read)
+        now = time.monotonic()
+        if now >= self.look_at:
+            self.look_at = now + EVERY
+            for descriptor, connection in list(self.waiting.items()):
+                if connection.overstays(now):
+                    # Read once more: what it said since is not cut off.
+                    del self.waiting[descriptor]
+                    self.crew.run(connection.read_last)
--- a/vetchford/wire/pool.py
+++ b/vetchford/wire/pool.py
@@ -20,7 +20,7 @@
     """Writes commands of the link that is open; a thread of its own opens links and reads notices."""
 
     def __init__(self, address: tuple[str, int], module: Any, counts: Counts) -> None:
-        super().__init__("pool", counts, Crew(counts))
+        super().__init__("pool", counts, Crew(counts, 1))
         self.address, self.module = address, module
         self.last = 0  # number of the last notice read
         self.link, self.sock = 0, None
--- a/vetchford/wire/records.py
+++ b/vetchford/wire/records.py
@@ -23,7 +23,7 @@
 
     def __init__(self, address: tuple[str, int], most: int, module: Any, counts: Counts) -> None:
         """`most` connections at once, for the sake of descriptors; calls beyond wait for their turn."""
-        self.address, self.module, self.counts, self.crew = address, module, counts, Crew(counts)
+        self.address, self.module, self.counts, self.crew = address, module, counts, Crew(counts, 2 * most)
         self.lock = threading.Lock()  # the module, the lines and the main thread use the tables
         self.most_free = max(1, most // KEPT)
         self.most_out = most - self.most_free
