A nearly full table lets go of silent and idle connections within a tenth of a second

Seen: 473 of 512 descriptors, 174 connections accepted a second, and attempts that timed out without a server having read them. At fault: wire/balancers.py kept a connection that asked once and stayed for half a second after `closing`, so newcomers, balancers among them, waited in the backlog.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -16,11 +16,12 @@
 
 import vetchford
 from vetchford.lifecycle import configuration, logs
-from vetchford.lifecycle.actor import begin_thread
+from vetchford.lifecycle.actor import Crew, begin_thread
 from vetchford.lifecycle.counts import Counts
 from vetchford.memory.fingerprints import Fingerprints
 from vetchford.module import ModuleActor
 from vetchford.startup import MalformedError
+from vetchford.wire import balancers
 
 ROOT = Path(vetchford.__file__).parent.parent
 GOOD = {
@@ -254,3 +255,25 @@
         for _, q, _ in plain:
             prints.release(q)
         assert not prints.entries and not prints.marks
+
+
+def test_in_a_fuller_table_those_who_owe_a_word_are_let_go_sooner():
+    # Hundreds connect at once: balancers that wait behind them would wait past their time limits.
+    doors = balancers.Doors(("127.0.0.1", 0), 10, {}, {}, Recorder(), Counts())
+    ours, theirs = socket.socketpair()
+    connection = balancers.Connection(ours, doors, Counts())
+    for held, stays in ((2, 0.9), (6, 0.18), (9, 0.08)):
+        doors.connections = set(range(held))
+        assert not connection.overstays(connection.used + stays)
+        assert connection.overstays(connection.used + stays + 0.15)
+    for part in (ours, theirs, doors.sock):
+        part.close()
+
+
+def test_a_crew_takes_no_more_threads_than_it_may_and_does_all_it_is_given():
+    crew, done, hold = Crew(Counts(), 3), queue.Queue(), threading.Event()
+    for n in range(50):
+        crew.run(lambda n=n: (hold.wait(20), done.put(n)))
+    assert crew.threads == 3
+    hold.set()
+    assert sorted(done.get(timeout=20) for _ in range(50)) == list(range(50))
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -29,6 +29,8 @@
 IDLE = 10.0  # s that a connection with nothing open is kept, also where the decisions keep it for longer
 CLOSES_IN = 2.0  # s after `closing`: balancers close by themselves, and one that is paused hears it late
 DRAINED_IN = 0.5  # s after `closing`, in a drain: what crosses a close comes within 50 ms
+PACKED_IN = 0.1  # s for a first word, and after `closing`, in a table that is nearly full: twice the 50 ms
+PACKED = 0.8  # of the table: hundreds may connect at once, and balancers must not wait for them to be judged
 CROWDED = 0.5  # of the table, past which idle connections go; balancers may open as many
 BACKLOG = 512
 BUFFER = 2 * (jsonrpc.MOST_HEAD + jsonrpc.MOST_BODY)
@@ -136,11 +138,11 @@
             return False
         if self.passing:
             return now - self.used > PASSED_IN
-        crowded = self.doors.crowded()
+        packed, crowded = self.doors.fuller_than(PACKED), self.doors.fuller_than(CROWDED)
         if not self.heard:
-            return now - self.used > (CROWDED_IN if crowded else FIRST_IN)
+            return now - self.used > (PACKED_IN if packed else CROWDED_IN if crowded else FIRST_IN)
         if self.asked:
-            return self.done(now, DRAINED_IN if crowded else CLOSES_IN)
+            return self.done(now, PACKED_IN if packed else DRAINED_IN if crowded else CLOSES_IN)
         if now - self.used > IDLE:
             self.counts.add("connections_asked_to_close")
             self.do(self.ask_to_close)
@@ -361,11 +363,11 @@
             self.connections.add(connection)
         self.counts.add("connections_accepted")
         self.lobby.enter(connection)
-        if self.crowded():
+        if self.fuller_than(CROWDED):
             self.make_room()
 
-    def crowded(self) -> bool:
-        return len(self.connections) > CROWDED * self.most
+    def fuller_than(self, share: float) -> bool:
+        return len(self.connections) > share * self.most
 
     def left(self, connection: Connection) -> None:
         with self.lock:
