--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -494,6 +494,20 @@
     assert caller.hear()["id"] == 1 and caller.hear() is None
 
 
+def test_messages_that_owe_no_answer_end_no_connection(server):
+    caller = server.balancer()
+    caller.ask(1)
+    server.pool.take("spawn")
+    for _ in range(30):
+        caller.send({"jsonrpc": "2.0", "method": "what"})
+        caller.send({"jsonrpc": "2.0", "method": "read"})
+        assert caller.hear()["error"]["code"] == -32600  # to the second alone
+    server.pool.finish(f"{1:016x}")
+    assert caller.hear()["id"] == 1
+    caller.ask(2)
+    assert server.pool.take("spawn")
+
+
 def test_the_key_of_another_body_brings_nobody_that_task_s_result(server):
     caller, bad = server.balancer(), server.balancer()
     job = caller.ask(1, "pay", txn="a1", unique=MARK)
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -161,9 +161,12 @@
             method, rpc_id, params = jsonrpc.decode(body)
             if rpc_id in self.open:
                 raise jsonrpc.BadMessageError(jsonrpc.INVALID_REQUEST, f"id {rpc_id} is in use")
-            if rpc_id is None:  # the protocol has no calls that nobody waits for: whoever sent it is told
-                raise jsonrpc.BadMessageError(jsonrpc.INVALID_REQUEST, "field 'id' is missing")
-            if method == "check":
+            if rpc_id is None:
+                # Balancers have sent hundreds at a time: no reason to part with one, and its tasks, for that.
+                self.counts.note("balancer_notification", method=method[:40], params=str(params)[:120])
+                if method in self.doors.stages:  # a task that could not be answered: whoever sent it is told
+                    self.reply(jsonrpc.error(None, jsonrpc.INVALID_REQUEST, "field 'id' is missing"))
+            elif method == "check":
                 self.reply(jsonrpc.checked(rpc_id, self.doors.fit))
             else:
                 self.request(method, rpc_id, params)
