Digests of all acts of the node on generated histories, recorded before class pools

Why: with no pools set the node must act as before, act for act. What: twelve generated histories (calm and crowded, with calls, repeats, departures and a drain) and a digest of each act with its moment, recorded on the untouched rules.

--- /dev/null
+++ b/tests/test_unchanged.py
@@ -0,0 +1,84 @@
+"""With no pools set, the node acts as it did before there were any: digests of all its acts, recorded then.
+
+The histories are generated, with fixed seeds. A change of decisions on purpose records them anew and says so.
+"""
+
+import hashlib
+import random
+
+import pytest
+from helpers import Recorder, node, send, stage
+
+from vetchford import rules
+
+RECORDED = {
+    (0, False): "dbfe273e2d47e6ed2f978cda",
+    (0, True): "ec339ea3faa5a81ef2036f84",
+    (1, False): "8b127e4f6d2d4d5534175aa1",
+    (1, True): "f49c57385d068af383e97ae6",
+    (2, False): "fd5b61504fc6e3e9876a72b0",
+    (2, True): "a8652326f8928caa657401de",
+    (3, False): "362bda4692c1ed5b3bed2a09",
+    (3, True): "61abb010b33cd52bc23b3c2d",
+    (4, False): "3395f32a1372378eace342b0",
+    (4, True): "13b5ecb8dc00c0a7c19d3f6d",
+    (5, False): "26599ebb7e117d7dc6ebb817",
+    (5, True): "4c487c50fc6c9372f07ae891",
+}
+
+
+def kept(value):
+    return round(value, 6) if isinstance(value, float) else value
+
+
+def digest_of_a_history(seed, crowded):
+    """One digest over each act, its arguments and its moment."""
+    chance, host, acts = random.Random(seed), Recorder(), hashlib.blake2b(digest_size=12)
+    stages = [stage(skip_utility=0.3), stage(utility=3.0, effect=rules.FINGERPRINTED),
+              stage(utility=2.0, effect=rules.SIDE_EFFECTING, due=900.0, limit=2200.0, late_utility=0.2)]
+    server = node(host, stages=stages, share=2.0 if crowded else None, memory=20_000.0 if crowded else 1e6,
+                  quotas=(0.01, 0.02), say="credit", cold=seed % 2 == 0, callers=4)
+    count, told = 0, 0
+    for step in range(3000):
+        host.now = now = step * 5.0
+        if step == 2600:
+            server.leaving(now, now + 2000.0)
+        arrivals = chance.choice((0, 0, 1, 2, 5) if crowded else (0, 0, 0, 0, 1))
+        for _ in range(arrivals if step < 2800 else 0):
+            kind, first = chance.randrange(3), None
+            if kind == 1 and chance.random() < 0.2:
+                first = next((q for q, task in server.tasks.items() if task.entry_until > now), None)
+            count += 1
+            limit_at = now + 0.5 * stages[kind].limit if chance.random() < 0.5 else None
+            send(server, now, count, kind, caller=chance.randrange(4), tenant=chance.randrange(-1, 2),
+                 limit_at=limit_at, work=chance.choice((None, 5.0, 40.0, 200.0)), size=chance.randint(5, 60),
+                 again=chance.random() < 0.2, queued_for=chance.choice((0.0, 3.0, 400.0)), original=first)
+        for q, task in list(server.tasks.items()):
+            luck = chance.random()
+            if server.tasks.get(q) is not task:
+                continue
+            if task.state == rules.RUNNING and luck < 0.05:
+                server.ended(now, q, chance.choice(("completed", "errored")), chance.uniform(5.0, 400.0))
+            elif task.state == rules.RUNNING and luck < 0.08:
+                server.stalled_on_call(now, q)
+            elif task.state == rules.CALLING and luck < 0.05:
+                server.call_returned(now, q, chance.choice(("completed", "saturated", "overdue", "errored")),
+                                     chance.uniform(5.0, 300.0))
+            elif task.state == rules.SHARING and luck < 0.05:
+                server.ended(now, q, "completed", 0.0)
+            elif not task.answered and luck > 0.9995:
+                server.gone(now, q)
+        for at in sorted(at for at in host.timers if at <= now):
+            host.timers.remove(at)
+            server.woke(now, chance.random(), server.running + chance.random())
+        for act in host.acts:
+            acts.update(repr((now, *map(kept, act))).encode())
+            told += 1
+        host.acts.clear()
+    assert told > 1000
+    return acts.hexdigest()
+
+
+@pytest.mark.parametrize(("seed", "crowded"), RECORDED)
+def test_without_pools_every_act_is_as_before(seed, crowded):
+    assert digest_of_a_history(seed, crowded) == RECORDED[seed, crowded]
