--- /dev/null
+++ b/standins/workers.py
@@ -0,0 +1,87 @@
+"""A worker pool whose runs share its cores, with a neighbour that takes a part of them by script.
+
+A task's body tells what it takes: `KEY WORK CALLS`, ms on a core and calls below, which come half way.
+"""
+
+import base64
+import json
+import socket
+import threading
+from typing import Any
+
+from standins.script import Script
+from standins.shared import Shared
+
+
+class Workers:
+    def __init__(self, cores: float, taken: Script) -> None:
+        """`taken`: the neighbour's part of the cores."""
+        self.cores, self.taken = cores, taken
+        self.shared = Shared(self.rate, taken.until_next, self.reached)
+        self.lock = threading.Lock()
+        self.runs: dict[str, dict[str, Any]] = {}  # emptied as runs end
+        self.ran: dict[str, int] = {}  # runs by the key of the body
+        self.number, self.work, self.sock = 0, 0.0, None
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def rate(self, count: int, seconds: float) -> float:
+        return min(1.0, self.cores * (1.0 - self.taken.at(seconds)) / max(1, count))
+
+    def accept(self) -> None:
+        while True:
+            self.sock, _ = self.listener.accept()
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self.read, args=(self.sock.makefile("rb"),), daemon=True).start()
+
+    def read(self, lines: Any) -> None:
+        for line in lines:
+            message = json.loads(line)
+            kind = message["type"]
+            if kind == "bind":
+                self.say({"type": "bound", "state": "hot", "took": 60_000})
+            elif kind == "poll":
+                count = self.shared.inside()
+                left = self.cores * (1.0 - self.taken.at(self.shared.at - self.shared.began))
+                self.say(
+                    {"type": "polled", "ref": message["ref"], "gauges": [min(1.0, count / left), count]}
+                )
+            elif kind == "spawn":
+                self.spawn(message["job"], base64.b64decode(message["data"]))
+            elif kind in ("supply", "pass"):
+                run = self.runs[message["job"]]
+                self.shared.add(message["job"], run["half"])
+
+    def spawn(self, job: str, body: bytes) -> None:
+        key, work, calls = body.decode().split()[:3]
+        self.ran[key] = self.ran.get(key, 0) + 1
+        self.work += float(work)
+        half = 0.5 * float(work) if int(calls) else float(work)
+        self.runs[job] = {"key": key, "calls": int(calls), "half": half, "work": float(work)}
+        self.shared.add(job, half)
+
+    def reached(self, job: str) -> None:
+        run = self.runs[job]
+        if run["calls"]:
+            run["calls"] -= 1
+            self.notice("blocked", job, data=base64.b64encode(run["key"].encode()).decode())
+            return
+        del self.runs[job]
+        made = base64.b64encode(b"done " + run["key"].encode()).decode()
+        self.notice("finished", job, state="complete", took=run["work"], data=made)
+
+    def notice(self, kind: str, job: str, **fields: Any) -> None:
+        self.number += 1
+        self.say({"type": kind, "n": self.number, "job": job, **fields})
+
+    def say(self, message: dict[str, Any]) -> None:
+        with self.lock:
+            self.sock.sendall(json.dumps(message).encode() + b"\n")
+
+
+def serve(pipe: Any, cores: float, taken: list[tuple[float, float]]) -> None:
+    workers = Workers(cores, Script(taken))
+    pipe.send(workers.listener.getsockname()[1])
+    while (told := pipe.recv()) is not None:
+        workers.shared.began = told
+    pipe.send({"ran": workers.ran, "work": workers.work, "left": len(workers.runs)})
--- /dev/null
+++ b/tests/pools/test_pooled_node.py
@@ -0,0 +1,282 @@
+"""The node with pools: whose task starts, has room, calls and hears when to come back."""
+
+import math
+
+import pytest
+from helpers import Recorder, node, send, stage
+
+from vetchford import rules
+from vetchford.pools import building
+from vetchford.pools.decide import PoolSet, Terms
+
+CHECK, QUOTE, CHARGE = range(3)
+
+
+class Seen:
+    def __init__(self):
+        self.told = []
+
+    def __getattr__(self, name):
+        return lambda *given: self.told.append((name, *given))
+
+    def count(self, *wanted):
+        return sum(entry[: len(wanted)] == wanted for entry in self.told)
+
+
+def pooled(host, terms=None, seen=None, pool_of=(0, 1, 2), stages=None, **given):
+    terms = terms or [
+        Terms("gate", 0.2, 0.2, 0.2, reserve=1),
+        Terms("quotes", 0.3, 0.3, 0.3),
+        Terms("charges", 0.5, 0.5, 0.5),
+    ]
+    stages = stages or [
+        stage(),
+        stage(utility=2.0, skip_utility=0.5),
+        stage(utility=3.0, effect=rules.FINGERPRINTED),
+    ]
+    return node(host, stages=stages, pools=PoolSet(seen or Seen(), terms, pool_of), **given)
+
+
+def started(host):
+    return [act[1] for act in host.acts if act[0] == "start"]
+
+
+def test_the_reserve_starts_a_check_at_once_whatever_runs_and_nobody_else_gets_it():
+    host, seen = Recorder(), Seen()
+    server = pooled(host, seen=seen)
+    server.ceiling = 8.0
+    for q in range(6):
+        send(server, 0.0, q, kind=CHARGE)
+    assert started(host) == [0, 1]
+    send(server, 1.0, 10, kind=CHECK)
+    assert started(host) == [0, 1, 10] and seen.count("reserve_used", 0) == 1
+    send(server, 2.0, 11, kind=CHECK)
+    assert started(host) == [0, 1, 10]  # one is its reserve
+    server.ended(30.0, 10, "completed", 28.0)
+    assert started(host) == [0, 1, 10, 11]
+
+
+def test_a_pool_alone_has_all_slots_and_its_owner_is_next_the_moment_it_comes_back():
+    host, seen = Recorder(), Seen()
+    server = pooled(host, seen=seen, cores=4)
+    for q in range(12):
+        send(server, 0.0, q, kind=CHARGE)
+    assert started(host) == [0, 1, 2, 3] and seen.count("borrowed", 2, "slots") == 2
+    send(server, 100.0, 20, kind=QUOTE)
+    server.ended(100.0, 0, "completed", 100.0)
+    assert started(host)[-1] == 20 and seen.count("returned", 2, "slots") == 1
+
+
+def test_an_owner_that_returns_at_the_instant_a_slot_is_freed_gets_it_in_either_order():
+    for first in ("arrival", "end"):
+        host = Recorder()
+        server = pooled(host)
+        for q in range(4):
+            send(server, 0.0, q, kind=CHARGE)
+        if first == "arrival":
+            send(server, 50.0, 20, kind=QUOTE)
+            server.ended(50.0, 0, "completed", 50.0)
+            assert started(host)[-1] == 20
+        else:  # the slot was lent again before it came: the next one is its
+            server.ended(50.0, 0, "completed", 50.0)
+            send(server, 50.0, 20, kind=QUOTE)
+            server.ended(50.0, 1, "completed", 50.0)
+            assert started(host)[-1] == 20
+
+
+def test_two_busy_pools_share_the_slots_by_their_parts_over_time():
+    host = Recorder()
+    terms = [Terms("gate", 0.2, 0.5, 0.5), Terms("quotes", 0.3, 0.5, 0.5), Terms("charges", 0.5, 0.5, 0.5)]
+    server = pooled(host, terms=terms, memory=1e9)
+    now, q, runs, used = 0.0, 0, [], [0, 0, 0]
+    for _ in range(3000):
+        for kind in (QUOTE, CHARGE):
+            held = sum(task.pool == kind for task in server.held.values())
+            if held < 2:
+                q += 1
+                send(server, now, q, kind=kind, limit_at=now + 4000.0)
+        runs += [(now + 40.0, one) for one in started(host)]
+        host.acts.clear()
+        runs.sort()
+        now, one = runs.pop(0)
+        used[server.tasks[one].pool] += 1
+        server.ended(now, one, "completed", 40.0)
+    assert used[QUOTE] / used[CHARGE] == pytest.approx(0.3 / 0.5, rel=0.05)
+
+
+def test_a_pool_of_one_slot_and_one_that_does_not_lend_keep_theirs_free():
+    host = Recorder()
+    terms = [Terms("gate", 0.5, 0.2, 0.2, lends=False), Terms("rest", 0.5, 0.8, 0.8)]
+    server = pooled(host, terms=terms, pool_of=(0, 1, 1))
+    for q in range(4):
+        send(server, 0.0, q, kind=CHARGE)
+    assert started(host) == [0]  # the other slot is the gate's
+    send(server, 1.0, 10, kind=CHECK)
+    assert started(host) == [0, 10]
+
+
+def test_charges_that_fill_the_bytes_give_way_to_a_pool_within_its_part():
+    host = Recorder()
+    server = pooled(host)
+    server.counters.clears, server.ceiling = 100.0, 8.0
+    for q in range(12):
+        send(server, 0.0, q, kind=CHARGE, caller=q, size=10)
+    held = len(server.held)
+    send(server, 1.0, 30, kind=CHECK, caller=30, size=10)
+    send(server, 1.0, 31, kind=CHECK, caller=31, size=10)
+    assert not {30, 31} & set(
+        host.answers
+    )  # let in, one by its reserve, and a charge went for what was too much
+    assert len(server.held) == held + 1 and server.counters.unanswered == 100
+    before = set(host.answers)
+    send(server, 2.0, 40, kind=QUOTE, caller=40, size=10)  # within its part: a charge goes for it
+    assert 40 in server.held and len(set(host.answers) - before) == 1
+    assert server.counters.unanswered == 100 and all(answer == "reject" for answer in host.answers.values())
+
+
+def test_charges_parked_on_a_dead_ledger_leave_the_memory_of_the_gate_alone():
+    host = Recorder()
+    server = pooled(host, memory=2000.0, share=50.0)
+    now, q = 0.0, 0
+    for q in range(100):
+        send(server, now, q, kind=CHARGE, caller=q, size=10)
+        for one in started(host):
+            if server.tasks[one].state == rules.RUNNING:
+                server.stalled_on_call(now, one)
+        now += 1.0
+    assert any(answer == "reject" for answer in host.answers.values())  # full
+    send(server, now, 500, kind=CHECK, size=10)
+    assert 500 in started(host)
+
+
+def test_what_must_call_is_not_started_into_its_pool_s_line_and_others_go_on():
+    host = Recorder()
+    server = pooled(host, share=1.0)
+    for q in range(8):
+        send(server, 0.0, q, kind=CHARGE)
+    for q in (0, 1, 2, 3):
+        if server.tasks[q].state == rules.RUNNING:
+            server.stalled_on_call(10.0, q)
+    assert len(server.waiting) <= 3 and server.running < 2
+    before = server.running
+    send(server, 20.0, 20, kind=CHECK)
+    assert server.running == before + 1
+
+
+def test_a_quote_that_waits_longer_than_its_budget_goes_on_without_the_call():
+    host = Recorder()
+    terms = [
+        Terms("gate", 0.2, 0.2, 0.2),
+        Terms("quotes", 0.3, 0.3, 0.3, call_budget=600.0),
+        Terms("charges", 0.5, 0.5, 0.5),
+    ]
+    server = pooled(host, terms=terms, share=4.0)
+    send(server, 0.0, 1, kind=QUOTE)
+    server.stalled_on_call(10.0, 1)
+    assert ("call", 1, 610.0) in host.acts
+    server.call_returned(610.0, 1, "overdue", 600.0)
+    assert ("skip", 1) in host.acts
+
+
+def test_who_is_turned_away_hears_the_backlog_of_its_own_pool():
+    host = Recorder()
+    server = pooled(host)
+    for q in range(200, 208):
+        send(server, 0.0, q, kind=CHARGE, work=300.0)
+        server.ended(0.0, q, "completed", 300.0)
+    for q in range(40):
+        send(server, 0.0, q, kind=CHARGE, work=300.0, caller=q % 5)
+    told = {act[1]: act[3] for act in host.acts if act[0] == "reject"}
+    assert told and min(told.values()) > 400.0
+    send(server, 1.0, 100, kind=QUOTE, size=200_000)  # more than the memory: nobody of its pool is in line
+    assert ("reject", 100, False, 0.0) in host.acts
+
+
+def test_a_repeat_of_a_charge_that_waits_in_a_full_pool_takes_its_place_and_runs_once():
+    host = Recorder()
+    server = pooled(host)
+    for q in range(6):
+        send(server, 0.0, q, kind=CHARGE)
+    waits = next(iter(server.held))
+    send(server, 50.0, 50, kind=CHARGE, original=waits)
+    assert host.answers[waits] == "reject" and 50 in server.held
+    send(server, 60.0, 51, kind=CHARGE, original=0)
+    assert "share" in host.names(51) and started(host).count(0) == 1
+
+
+def test_the_gate_on_a_pool_whose_ledger_was_dead_lets_one_in_to_try_as_soon_as_none_is_out():
+    host = Recorder()
+    server = pooled(host, share=8.0)
+    now = 0.0
+    for q in range(30):
+        send(server, now, q, kind=CHARGE, limit_at=now + 1800.0)
+        if q in started(host):
+            server.stalled_on_call(now + 5.0, q)
+            server.call_returned(now + 1700.0, q, "overdue", 1695.0)
+        now += 2000.0
+    send(server, now, 99, kind=CHARGE)
+    assert 99 in started(host)
+
+
+def test_drain_with_full_pools_answers_everything_and_empties_every_table():
+    host = Recorder()
+    server = pooled(host, share=2.0)
+    for q in range(30):
+        send(server, 0.0, q, kind=q % 3, caller=q % 4)
+    for q in started(host)[:2]:
+        server.stalled_on_call(20.0, q)
+    server.leaving(100.0, 2100.0)
+    for at in range(150, 2100, 50):
+        server.woke(float(at), 1.0, 2.0)
+    for q in list(server.tasks):
+        task = server.tasks[q]
+        if task.state in (rules.RUNNING, rules.PARKED, rules.CALLING):
+            server.ended(2100.0, q, "recalled", 2000.0)
+    server.woke(40_000.0, 0.0, 0.0)
+    pools = server.pools
+    assert set(host.answers) == set(range(30)) and not server.tasks
+    assert pools.unanswered == [0, 0, 0] and pools.used == [0.0, 0.0, 0.0]
+    assert pools.slots.in_use == pools.calls.in_use == pools.on_reserve == [0, 0, 0]
+    assert not any(pools.out)
+
+
+def test_stages_that_no_pool_names_share_the_rest_and_unknown_parts_shut_nobody_out():
+    made = building.build(
+        Seen(),
+        {
+            "gate": {
+                "stages": ["check"],
+                "share": 1.0,
+                "bytes": 1.0,
+                "calls": 1.0,
+                "reserve": 0,
+                "call_budget": None,
+            }
+        },
+        ["check", "new", "newer"],
+        [0, 0, 1],
+        [1.0, 2.0, 3.0],
+    )
+    assert [made.terms[p].name for p in made.pool_of] == ["gate", "rest", "rest"]
+    assert made.slots.shares[1] > 0.05 and made.terms[0].call_budget == math.inf
+    assert building.build(Seen(), "none", ["check"], [0], [1.0]) is None
+
+
+def test_derived_pools_find_the_light_stage_by_its_runs_and_keep_to_it():
+    host, seen = Recorder(), Seen()
+    stages = [stage(), stage(utility=2.0), stage(utility=3.0, effect=rules.FINGERPRINTED)]
+    made = building.derived(seen, [0, 0, 1], [1.0, 2.0, 3.0])
+    server = node(host, stages=stages, pools=made)
+    assert [kind.pool for kind in stages] == [2, 2, 1]  # nothing measured yet
+    now = 0.0
+    for q in range(90):
+        send(server, now, q, kind=q % 3)
+        server.ended(now + 5.0, q, "completed", (6.0, 40.0, 60.0)[q % 3])
+        now += 10.0
+    server.woke(6000.0, 1.0, 0.0)
+    assert [kind.pool for kind in stages] == [0, 2, 1] and seen.count("regrouped") == 1
+    for q in range(100, 190):  # now all are dear: none is light
+        send(server, 7000.0 + q, q, kind=q % 3)
+        server.ended(7005.0 + q, q, "completed", 60.0)
+    server.woke(12_000.0, 1.0, 0.0)
+    assert [kind.pool for kind in stages] == [2, 2, 1]
--- /dev/null
+++ b/tests/pools/test_pooled_server.py
@@ -0,0 +1,87 @@
+"""The whole server with pools, in a process of its own, against stand-ins."""
+
+import re
+import signal
+import subprocess
+import sys
+
+import pytest
+from helpers import Running
+
+POOLS = """
+version: 1
+pools: {
+    light: {stages: ["read"], share: 20%, reserve: 1}
+    heavy: {stages: ["pay"], share: 80%}
+}
+"""
+
+
+@pytest.fixture
+def server(tmp_path):
+    file = tmp_path / "pools.vet"
+    file.write_text(POOLS)
+    with Running(tmp_path, given=("--with", str(file))) as running:
+        running.file = file
+        yield running
+
+
+def test_a_read_has_its_reserve_among_pays_and_the_log_tells_of_it(server):
+    caller = server.balancer()
+    pays = [caller.ask(n, "pay", unique=f"{n:032x}") for n in range(1, 7)]
+    server.pool.take("spawn")
+    server.pool.take("spawn")
+    read = caller.ask(10, "read")
+    assert server.pool.take("spawn")[1]["job"] == read
+    server.pool.finish(read)
+    assert caller.hear()["id"] == 10
+    for n in range(6):
+        server.pool.finish(pays[n])
+        assert caller.hear()["id"] == n + 1
+        if n < 4:
+            server.pool.take("spawn")
+    log = server.stop()
+    assert "event=pools" in log and "pool_light_reserve_used=1" in log and "must_hold_broken" not in log
+
+
+def test_sighup_amid_full_pools_keeps_them_and_says_that_they_wait_for_the_next_start(server):
+    caller = server.balancer()
+    jobs = [caller.ask(n, "pay", unique=f"{n:032x}") for n in range(1, 7)]
+    server.pool.take("spawn")
+    server.pool.take("spawn")
+    server.file.write_text(POOLS.replace("20%", "50%").replace("80%", "50%"))
+    server.process.send_signal(signal.SIGHUP)
+    server.file.write_text(POOLS.replace("80%", '"most"'))
+    server.process.send_signal(signal.SIGHUP)
+    for n, job in enumerate(jobs):
+        server.pool.finish(job)
+        assert caller.hear()["id"] == n + 1
+        if n < 4:
+            server.pool.take("spawn")
+    log = server.stop()
+    assert re.search("configuration_(renewed.*declared|refused.*pools.heavy.share)", log)
+
+
+def test_drain_with_full_pools_answers_everything(server):
+    caller = server.balancer()
+    for n in range(1, 9):
+        caller.ask(n, "pay", unique=f"{n:032x}", limit=3000)
+    for _ in range(2):
+        server.pool.finish(server.pool.take("spawn")[1]["job"])
+    server.process.send_signal(signal.SIGTERM)
+    while server.process.poll() is None:
+        try:
+            server.pool.finish(server.pool.heard.get(timeout=0.2)[1]["job"])
+        except Exception:
+            continue
+    heard = {caller.hear()["id"] for _ in range(8)}
+    assert heard == set(range(1, 9)) and server.process.returncode == 0
+
+
+def test_a_server_without_our_files_imports_no_part_of_them():
+    code = (
+        "import sys, vetchford.cli, vetchford.lifecycle.server\n"
+        "print([name for name in sys.modules if name.startswith(('vetchford.pools', 'vetchford.declared', "
+        "'lark', 'msgspec'))])"
+    )
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == "[]\n"
--- a/vetchford/cli.py
+++ b/vetchford/cli.py
@@ -1,21 +1,24 @@
 """vetchford: admission and scheduling for a server behind other people's balancers.
 
 Usage:
-  vetchford [options] serve
-  vetchford [options] check
-  vetchford [options] settings
+  vetchford [options] [--with FILE]... serve
+  vetchford [options] [--with FILE]... check
+  vetchford [options] [--with FILE]... settings [--schema]
   vetchford [options] version
   vetchford (-h | --help | --version)
 
 Commands:
   serve     run one server until SIGTERM or SIGINT, then answer all that is open and leave;
             on SIGHUP it reads the configuration anew and goes over to the addresses given there
-  check     read the configuration as `serve` would and name the first key at fault; starts nothing
-  settings  print what was understood of the configuration, as JSON
+  check     read the configuration as `serve` would and name all keys at fault; starts nothing.
+            Without a configuration file it checks the files given by --with alone
+  settings  print what was understood of the configuration, as JSON;
+            with --schema, what a file given by --with may hold, in its own form
   version   print the version
 
 Options:
   --config FILE      configuration file; else the environment's ROUTER_CONFIG names it
+  --with FILE        settings of our own, such as deploy/pools.vet; several files are unified
   --log-level LEVEL  debug, info, warning or error [default: info]
   --log-form FORM    text (key=value) or json, a line each on standard error [default: text]
   -h --help          this text
@@ -25,10 +28,12 @@
 
 Examples:
   vetchford check --config config.json
+  vetchford check --config config.json --with deploy/pools.vet --with site.vet
   ROUTER_CONFIG=/run/balancer/config.json vetchford serve --log-form json
 """
 
 import json
+import os
 import sys
 from functools import partial
 
@@ -50,8 +55,19 @@
     if asked["version"]:
         print(vetchford.__version__)
         return 0
-    load = partial(configuration.load, path=asked["--config"])
+    if asked["--schema"]:
+        from vetchford.declared import apart  # only here, and where such files are read
+
+        print(apart.schema(), end="")
+        return 0
+    load = partial(configuration.load, path=asked["--config"], ours=asked["--with"])
     try:
+        if asked["check"] and asked["--with"] and not (asked["--config"] or os.environ.get("ROUTER_CONFIG")):
+            from vetchford.declared import apart
+
+            apart.read(asked["--with"], None)
+            print(f"{', '.join(asked['--with'])}: good")
+            return 0
         told = load()
     except MalformedError as problem:
         return complain(str(problem))
@@ -70,5 +86,6 @@
 
 
 def complain(text: str) -> int:
-    print(f"vetchford: {text}", file=sys.stderr)
+    for line in text.splitlines():
+        print(f"vetchford: {line}", file=sys.stderr)
     return 2
--- /dev/null
+++ b/vetchford/declared/records.py
@@ -0,0 +1,32 @@
+"""The typed records that the rest of the program gets, through msgspec."""
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+Share = Annotated[float, Meta(gt=0.0, le=1.0)]
+
+
+class Pool(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """As #Pool of the schema; durations in ms."""
+
+    stages: Annotated[list[str], Meta(min_length=1, max_length=64)]
+    share: Share
+    bytes: Share
+    calls: Share
+    reserve: Annotated[int, Meta(ge=0, le=8)]
+    lends: bool
+    borrows: bool
+    most_calls: Annotated[int, Meta(ge=1, le=256)]
+    call_budget: float | None = None
+
+
+class Declared(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    version: Literal[1]
+    pools: Literal["none", "derived"] | Annotated[dict[str, Pool], Meta(max_length=16)]
+
+
+def typed(plain: object) -> Declared:
+    """Raises msgspec.ValidationError, whose text ends with the path."""
+    return msgspec.convert(plain, Declared)
--- a/vetchford/lifecycle/configuration.py
+++ b/vetchford/lifecycle/configuration.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from vetchford import startup
+from vetchford.lifecycle import told as platform
 from vetchford.startup import MalformedError
 
 
@@ -35,8 +36,13 @@
         return lambda *given: None
 
 
-def load(environment: Mapping[str, str] = os.environ, path: str | None = None) -> dict[str, Any]:
-    """The configuration file with what the environment adds; MalformedError names the first key at fault."""
+def load(
+    environment: Mapping[str, str] = os.environ, path: str | None = None, ours: list[str] | None = None
+) -> dict[str, Any]:
+    """The configuration file with what the environment adds, and what our own files declare under `declared`.
+
+    MalformedError has a line for each key at fault.
+    """
     path = path or environment.get("ROUTER_CONFIG")
     if not path:
         raise MalformedError("ROUTER_CONFIG names no configuration file")
@@ -53,6 +59,11 @@
         if environment.get(variable):
             told[key] = environment[variable]
     check(told)
+    told.pop("declared", None)  # not the platform's to set
+    if ours:
+        from vetchford.declared import apart  # a server without such files does without it
+
+        told["declared"] = apart.read(ours, list(startup.indices(told["settings"])[0]))
     return told
 
 
@@ -72,6 +83,9 @@
     number(told["limits"], "sockets", 32, "limits.")
     if not isinstance(told.get("settings"), dict):
         raise MalformedError("key 'settings' must be an object")
+    wrong = list(platform.problems(told["settings"]))
+    if wrong:
+        raise MalformedError("\n".join(wrong))
     try:
         startup.indices(told["settings"])
         startup.build(Silent(), seed(told), told["settings"], False)
@@ -87,6 +101,7 @@
     return {
         **{key: told[key] for key in ("name", "listen", "pool", "records", "members", "stop_ms", "limits")},
         "cores": (settings.get("familyInfo") or {}).get("cores"),
+        **({"declared": told["declared"]} if "declared" in told else {}),
         "tenants": list(startup.indices(settings)[1]),
         "stages": [
             {
--- a/vetchford/lifecycle/server.py
+++ b/vetchford/lifecycle/server.py
@@ -25,7 +25,8 @@
 OTHERS = 8  # descriptors for listening, waiting, the pool's link, reports and the standard three
 MOST_CALLS = 56  # descriptors for calls: three times the calls that a server of twelve cores may have out
 MOVABLE = ("pool", "records", "members")  # keys of addresses that a running server can go over to
-FIXED = ("name", "listen", "limits", "settings")  # keys that it can't change; they wait for the next start
+# Keys that it can't change; they wait for the next start.
+FIXED = ("name", "listen", "limits", "settings", "declared")
 
 
 def hold_signals() -> None:
@@ -37,7 +38,7 @@
     """Runs until a signal asks it to leave and all is answered; `reread` gives the configuration anew."""
     threading.stack_size(STACK)
     counts = Counts()
-    module = ModuleActor(configuration.seed(told), told["settings"], counts)
+    module = ModuleActor(configuration.seed(told), told["settings"], counts, pools_from(told, counts))
     pool = Pool(configuration.address(told, "pool"), module, counts)
     sockets = int(told["limits"]["sockets"])
     for_calls = min(MOST_CALLS, max(8, sockets // 4 - OTHERS))  # the rest is for balancers
@@ -78,6 +79,15 @@
     return 0
 
 
+def pools_from(told: dict[str, Any], counts: Counts) -> Callable[[], Any] | None:
+    declared = told.get("declared") or {}
+    if not declared.get("pools") or declared["pools"] == "none":
+        return None
+    from vetchford.pools import marks  # a server without pools does without it
+
+    return partial(marks.pools, told["settings"], declared["pools"], counts)
+
+
 def renew(
     told: dict[str, Any], reread: Callable[[], dict[str, Any]], moves: dict[str, Callable[..., None]]
 ) -> dict[str, Any]:
@@ -90,6 +100,6 @@
     moved = [key for key in MOVABLE if fresh[key] != told[key]]
     for key in moved:
         moves[key](configuration.address(fresh, key))
-    kept = [key for key in FIXED if fresh[key] != told[key]]
+    kept = [key for key in FIXED if fresh.get(key) != told.get(key)]
     log.info("configuration_renewed", moved=",".join(moved), not_changed=",".join(kept))
     return {**told, "stop_ms": fresh["stop_ms"], **{key: fresh[key] for key in MOVABLE}}
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -33,9 +33,12 @@
 
 
 class ModuleActor(Actor):
-    def __init__(self, seed: int, told: dict[str, Any], counts: Counts) -> None:
+    def __init__(
+        self, seed: int, told: dict[str, Any], counts: Counts, pools: Callable[[], Any] | None = None
+    ) -> None:
+        """`pools` makes the class pools; without it there are none."""
         super().__init__("module", counts)
-        self.seed, self.told = seed, told
+        self.seed, self.told, self.make_pools = seed, told, pools
         self.gauge_places = startup.indices(told)[2]
         self.tasks, self.prints = Tasks(), Fingerprints()
         self.marks: dict[int, str] = {}  # fingerprints of tasks; emptied by `release`
@@ -147,7 +150,8 @@
         self.link, self.ready = link, False
         if self.node is None:
             self.origin = time.time() * 1000.0 - ago
-            self.node = startup.build(self, self.seed, self.told, cold)
+            pools = self.make_pools() if self.make_pools else None
+            self.node = startup.build(self, self.seed, self.told, cold, pools)
             log.info("pool_bound", cold=cold, started_ms_ago=round(ago))
             self.timers.at(time.time() * 1000.0 + SUMMARY, self.summarise)
         self.poll()  # what is read before its answer is the replay
--- /dev/null
+++ b/vetchford/pools/marks.py
@@ -0,0 +1,58 @@
+"""What the pools' limits did, as counts on the summary line and as log events."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import structlog
+
+from vetchford import startup
+from vetchford.lifecycle.counts import Counts
+from vetchford.pools import building
+from vetchford.pools.decide import PoolSet
+
+log = structlog.get_logger()
+
+
+class Marks:
+    """The host of a `PoolSet`: counts by pool's name, of which there are 17 at most."""
+
+    def __init__(self, counts: Counts, stages: Sequence[str]) -> None:
+        self.counts, self.stages, self.names = counts, stages, []
+
+    def borrowed(self, pool: int, what: str) -> None:
+        self.counts.add(f"pool_{self.names[pool]}_borrowed_{what}")
+
+    def returned(self, pool: int, what: str) -> None:
+        self.counts.add(f"pool_{self.names[pool]}_returned_{what}")
+
+    def reserve_used(self, pool: int) -> None:
+        self.counts.add(f"pool_{self.names[pool]}_reserve_used")
+
+    def bound(self, pool: int, what: str) -> None:
+        self.counts.add(f"pool_{self.names[pool]}_bound_{what}")
+
+    def limit_moved(self, pool: int, why: str, limit: float) -> None:
+        count = self.counts.add(f"pool_{self.names[pool]}_calls_{why}")
+        if count & (count - 1) == 0:  # the 1st, 2nd, 4th, 8th ..., as for all that a peer can provoke
+            log.info("pool_limit_moved", pool=self.names[pool], why=why, limit=round(limit, 1), count=count)
+
+    def regrouped(self, pools: Sequence[int]) -> None:
+        moved = ",".join(
+            f"{name}:{self.names[pool]}" for name, pool in zip(self.stages, pools, strict=True)
+        )
+        log.info("pools_regrouped", stages=moved)
+
+
+def pools(told: dict[str, Any], declared: str | dict[str, Any], counts: Counts) -> PoolSet | None:
+    """The pools of a server that was told these settings."""
+    stages = told["requestClasses"]
+    names = [entry.get("name") or "" for entry in stages]
+    marks = Marks(counts, names)
+    effects = [startup.EFFECTS[entry["effect"]] for entry in stages]
+    made = building.build(marks, declared, names, effects, [entry.get("worth") or 0.0 for entry in stages])
+    if made is not None:
+        marks.names = [terms.name for terms in made.terms]
+        log.info(
+            "pools", names=",".join(marks.names), stages=",".join(marks.names[p] for p in made.pool_of)
+        )
+    return made
--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -9,12 +9,14 @@
   4. due-time gate: what can't finish in time by the measured speed is answered at once, not held
   5. tenant share: utility beyond a tenant's share counts for less
   6. advice: pause, terminal, free value, fitness and stall, how long connections stay open idle
+Where pools are set (vetchford/pools/decide.py), they say whose task is next, has room or gives way.
 """
 
 import heapq
 import math
 import zlib
 from dataclasses import dataclass, field
+from typing import Any
 
 from vetchford.host import Host
 
@@ -49,6 +51,8 @@
     asked: float = 1e-9  # utility, of late
     got: float = 0.0  # of it, served in time
     weight: float = 0.0  # utility as the hold orders by it
+    mean: float = 0.0  # recent run time, for pools
+    pool: int = 0
 
 
 @dataclass(slots=True)
@@ -69,6 +73,7 @@
     crowd: float = 0.0  # runs and reads on the cores when this one started
     away: float = 0.0  # waited on calls so far, less the time when it parked
     entry_until: float = 0.0  # when its fingerprint's entry runs out; 0: none
+    pool: int = 0  # of its stage when it came
 
 
 class GradientLimit:
@@ -239,7 +244,8 @@
 
     def __init__(self, host: Host, stages: list[Stage], cores: int, survives: float, cold_from: float,
                  ramp: float, counters: ByteCounters, calls: CallBound | None, tenants: TenantShare,
-                 advice: Advice, by_work: bool, can_stop: bool, grace: float, worst_weight: float) -> None:
+                 advice: Advice, by_work: bool, can_stop: bool, grace: float, worst_weight: float,
+                 pools: Any = None) -> None:
         self.host, self.stages, self.cores, self.due = host, stages, cores, max(kind.due for kind in stages)
         # At most half the crowd survived, warm or cold, is started: resumed calls and reading come on top.
         self.crowd_warm, self.ramp = max(1.0, 0.5 * cores * survives), ramp
@@ -247,6 +253,7 @@
         self.counters, self.calls, self.tenants, self.advice = counters, calls, tenants, advice
         self.by_work, self.can_stop, self.grace, self.worst_weight = by_work, can_stop, grace, worst_weight
         self.limit = GradientLimit(cores, min(cores, self.crowd_cold))
+        self.pools, self.ceiling = pools, min(cores, self.crowd_cold)  # runs at once, reserves included
         self.tasks: dict[int, Task] = {}  # emptied as answers leave, cores are left and entries run out
         self.held: dict[int, Task] = {}  # emptied by start, answer, departure
         self.waiting: dict[int, Task] = {}  # parked with no call out; emptied as calls go out or answers do
@@ -256,6 +263,8 @@
         self.stretch, self.lag = 1.0, 0.0  # recent run time over the base, wait to be read over the due time
         self.waits, self.busy, self.reading = Waits(), False, 0.0  # reading: on the cores beside the runs
         self.mean_run = self.mean_size = self.mean_work = 0.0  # recent, of finished tasks
+        if pools is not None:
+            pools.attach(stages, calls)
         host.fitness(True)
         host.wake(self.SWEEP)
 
@@ -272,7 +281,10 @@
             due -= 0.5 * self.advice.asked  # stayed away as this server asks, or walked on: half
         work, due = work or 1.0, min(due, limit)
         task = self.tasks[q] = Task(q, kind, tenant, caller, at, due, limit, work, size, again)
+        task.pool = kind.pool
         self.counters.add(caller, size)
+        if self.pools is not None:
+            self.pools.entered(task.pool, size)
         self.advice.read, self.advice.further = self.advice.read + 1.0, self.advice.further + again
         if not again:
             kind.asked += kind.utility * (work if self.by_work else 1.0)
@@ -309,6 +321,12 @@
 
     def ended(self, now: float, q: int, code: str, took: float) -> None:
         task = self.tasks[q]
+        if self.pools is not None and task.state != SHARING:
+            if task.state == RUNNING:
+                self.pools.off_cores(now, task.pool)
+            elif task.state == CALLING:
+                self.pools.call_ended(now, task.pool, q, None, False)
+            self.pools.ended(task.pool, task.away != 0.0, task.size * self.counters.extra)
         if task.state == RUNNING:
             self.running -= 1
             if code == "completed":
@@ -329,25 +347,30 @@
     def stalled_on_call(self, now: float, q: int) -> None:
         task = self.tasks[q]
         self.running -= 1
+        if self.pools is not None:
+            self.pools.off_cores(now, task.pool)
         self.moved, self.stalled = now, False
         self._judge_fitness()
         task.state, task.away = PARKED, task.away - now
         if not task.answered:  # else it ends by itself
             self.waiting[q] = task
             self._call_next(now)
-            if task.state == PARKED and task.stage.skip_utility and len(self.waiting) > self.calls.bound():
+            if task.state == PARKED and task.stage.skip_utility and self._over_line(task):
                 self._skip(now, task)
         self._fill(now)
 
     def call_returned(self, now: float, q: int, code: str, took: float) -> None:
         task = self.tasks[q]
-        self.calls.ended(now, None if code in ("overdue", "severed") else took)
+        lost, proven = code in ("overdue", "severed"), code in ("saturated", "refused_conn")
+        self.calls.ended(now, None if lost else took)
+        if self.pools is not None:
+            self.pools.call_ended(now, task.pool, q, None if lost else took, proven)
         task.state = PARKED  # whatever follows: its call is counted back once
         if code == "completed":
             self._resume(now, task)
         elif not task.answered and task.stage.skip_utility > 0.0:
             self._skip(now, task)
-        elif not task.answered and code in ("saturated", "refused_conn"):  # proves that it never ran
+        elif not task.answered and proven:  # that it never ran
             self.waiting[q] = task  # it may be made again, at the next sweep
             return
         elif not task.answered:  # one given up on while its call was out ends by itself, and is answered once
@@ -374,7 +397,10 @@
         for stage in self.stages:
             stage.weight = stage.utility * (bonus if stage is worst else 1.0)
             stage.asked, stage.got = stage.asked * 0.999, stage.got * 0.999  # look back about a minute
-        ceiling = self.crowd_cold + (self.crowd_warm - self.crowd_cold) * min(1.0, now / max(1.0, self.ramp))
+        warm = min(1.0, now / max(1.0, self.ramp))
+        ceiling = self.ceiling = self.crowd_cold + (self.crowd_warm - self.crowd_cold) * warm
+        if self.pools is not None:
+            self.pools.woke(now)
         # More runs on busy cores only slow all, and at a few cores the root is a large part of the limit.
         self.limit.step(now, ceiling, self.busy, busy is not None and busy < 0.5)
         if now - self.moved > max(1500.0, 4.0 * self.mean_run):  # with all slots in use: far over chance
@@ -406,18 +432,30 @@
     def _admit(self, now: float, task: Task) -> bool:
         counters, density, ahead = self.counters, self._density(task), 0.0
         entry = counters.entry if task.stage.effect == FINGERPRINTED else 0.0
-        if self.running + 0.2 > self._slots():
+        if self.pools is not None:
+            line = [o for o in self.held.values() if o.pool == task.pool and self._density(o) >= density]
+            ahead = self.pools.ahead(now, task.pool, sum(map(self._service, line)), len(line), self._slots(),
+                                     {o.pool for o in self.held.values()}, self._lined(task.pool))
+        elif self.running + 0.2 > self._slots():
             ahead = sum(self._service(o) for o in self.held.values() if self._density(o) >= density)
             ahead = (ahead + 0.5 * self.mean_run * self.running) / max(1.0, self.limit.limit)
-        if not counters.fits(entry + task.size * counters.extra) or not self._in_time(now, task, ahead):
+        if not self._fits(task, entry + task.size * counters.extra) or not self._in_time(now, task, ahead):
             self._turn_away(task, False)
             return False
         over_caller = counters.over_caller(task.caller, task.size)
-        if not over_caller and counters.unanswered <= counters.clears:
+        roomy = (counters.unanswered <= counters.clears if self.pools is None
+                 else self.pools.admits(task.pool, counters.unanswered, counters.clears))
+        if not over_caller and roomy:
             return True
         heavy = counters.by_caller  # room goes to the higher utility; among equals the heaviest loses it
         rivals = [o for o in self.held.values() if not over_caller or o.caller == task.caller]
-        lowest = min([task, *rivals], key=lambda o: (self._density(o), -heavy[o.caller], -o.arrived, o.q))
+        if self.pools is None or not self.pools.within(task.pool, counters.clears):
+            rivals.append(task)
+        if self.pools is not None:
+            rivals = self.pools.gives_way(task.pool, rivals, counters.clears)
+            if not rivals:
+                return True
+        lowest = min(rivals, key=lambda o: (self._density(o), -heavy[o.caller], -o.arrived, o.q))
         self._turn_away(lowest, False)
         return lowest is not task
 
@@ -425,17 +463,40 @@
         # Reading starved by runs comes too late for any use; a third of the cores, one run at least, goes on.
         return max(1.0, self.cores / 3.0, self.limit.limit - self.reading)
 
+    def _fits(self, task: Task, more: float) -> bool:
+        if self.pools is not None:
+            return self.pools.fits(task.pool, more, self.counters.used, 0.85 * self.counters.memory)
+        return self.counters.fits(more)
+
+    def _lined(self, pool: int) -> int:
+        return sum(o.pool == pool for o in self.waiting.values())
+
+    def _over_line(self, task: Task) -> bool:
+        if self.pools is not None:
+            return self.pools.over_line(task.pool, self._lined(task.pool))
+        return len(self.waiting) > self.calls.bound()
+
     def _fill(self, now: float) -> None:
+        shut: set[int] = set()  # pools whose next task has no room
         while self.held and not self.stalled:
-            if self.running + 0.2 > self._slots():  # rounded up: a little reading must idle no core
+            slots = self._slots()
+            if self.running + 0.2 > slots:  # rounded up: a little reading must idle no core
                 self.limit.in_use = True
-                return
-            # What must call below is not started into a line of its like: it would only park and age there.
-            lined = sum(not o.stage.skip_utility for o in self.waiting.values())
-            full = lined and lined >= self.calls.bound()
-            ready = [o for o in self.held.values() if o.stage.skip_utility or not full]
+                if self.pools is None:
+                    return
+            if self.pools is not None:
+                ready = self.pools.ready(now, self.held.values(), self.waiting.values(), self.running, slots,
+                                         self.ceiling, shut)
+            else:
+                # What must call below is not started into a line of its like: it would only park and age.
+                lined = sum(not o.stage.skip_utility for o in self.waiting.values())
+                full = lined and lined >= self.calls.bound()
+                ready = [o for o in self.held.values() if o.stage.skip_utility or not full]
             task = max(ready, default=None, key=lambda o: (self._density(o), -o.arrived, -o.q))
-            if task is None or not self.counters.fits(task.size * self.counters.extra):
+            if task is None or not self._fits(task, task.size * self.counters.extra):
+                if task is not None and self.pools is not None:
+                    shut.add(task.pool)
+                    continue
                 return
             if not self._in_time(now, task, 0.0):
                 self._turn_away(task, True)
@@ -444,6 +505,8 @@
             self.counters.used += task.size * self.counters.extra
             self.running += 1
             task.state, task.ran, task.crowd = RUNNING, True, self.running + self.reading
+            if self.pools is not None:
+                self.pools.started(now, task.pool, slots, task.size * self.counters.extra)
             self.moved = now if self.running == 1 else self.moved
             self.host.start(task.q)
 
@@ -452,6 +515,7 @@
         if task.crowd <= 1.2 * self.cores or stage.pace.seen < 8:  # one learnt crowded drifts upward
             stage.pace.add(now, took / task.work)
         stage.away += self.RECENT * (task.away - stage.away)
+        stage.mean += (self.RECENT if stage.mean else 1.0) * (took - stage.mean)
         base = max(1.0, task.work * stage.pace.value)
         self.limit.observe(base, took)
         self.stretch += self.RECENT * (min(8.0, took / base) - self.stretch)
@@ -480,8 +544,14 @@
         self.advice.rejected += 1.0
         self._settle(task)
         if pause is None:  # as long as the hold takes to empty
-            backlog = sum(self._service(other) for other in self.held.values())
-            pause = self.advice.pause(backlog / max(1.0, self.limit.limit))
+            if self.pools is not None:  # of its own pool
+                line = [self._service(other) for other in self.held.values() if other.pool == task.pool]
+                pause = self.advice.pause(self.pools.ahead(
+                    self.pools.slots.at, task.pool, sum(line), len(line), self._slots(),
+                    {other.pool for other in self.held.values()}, self._lined(task.pool)))
+            else:
+                backlog = sum(self._service(other) for other in self.held.values())
+                pause = self.advice.pause(backlog / max(1.0, self.limit.limit))
         # A further try that is rejected again has found two servers full: more only spread the overload, and
         # so would all others where a quarter of what comes was turned away elsewhere.
         terminal |= task.again or self.advice.further > 0.25 * self.advice.read
@@ -493,9 +563,13 @@
         self.held.pop(task.q, None)
         self.waiting.pop(task.q, None)
         self.counters.answered(task.caller, task.size)
+        if self.pools is not None:
+            self.pools.answered(task.pool, task.size)
 
     def _leave(self, task: Task) -> None:
         self.counters.used, task.state = self.counters.used - task.size, DONE
+        if self.pools is not None:
+            self.pools.left(task.pool, task.size)
         if task.entry_until and not task.ran:
             task.entry_until = 0.0
             self.counters.used -= self.counters.entry
@@ -520,12 +594,20 @@
     def _call_next(self, now: float) -> None:
         while self.waiting and self.calls.free(now):
             # First the call whose loss costs most: what may skip it loses only a part of its utility.
-            task = max(self.waiting.values(),
+            waiting, cut_at = list(self.waiting.values()), math.inf
+            if self.pools is not None:
+                waiting = self.pools.callable(now, waiting, self.calls.bound())
+                if not waiting:
+                    return
+            task = max(waiting,
                        key=lambda o: (self._density(o) * (1.0 - o.stage.skip_utility), -o.arrived, -o.q))
+            if self.pools is not None:
+                self.pools.call_began(now, task.pool, task.q, self.calls.bound())
+                cut_at = self.pools.call_until(now, task)
             del self.waiting[task.q]
             task.state = CALLING
             self.calls.in_hand += 1
-            self.host.call(task.q, min(task.limit, now + self.calls.longest))
+            self.host.call(task.q, min(task.limit, now + self.calls.longest, cut_at))
 
     def _skip(self, now: float, task: Task) -> None:
         self.waiting.pop(task.q, None)
@@ -535,15 +617,20 @@
     def _resume(self, now: float, task: Task) -> None:
         task.state = RUNNING
         self.running += 1
+        if self.pools is not None:
+            self.pools.resumed(now, task.pool, self._slots())
         self.moved = now if self.running == 1 else self.moved
         task.away += now
 
     def _in_time(self, now: float, task: Task, ahead: float) -> bool:
+        away = task.stage.away
+        if self.pools is not None:
+            away = self.pools.away(now, task.pool, self._lined(task.pool))
         # What no run has told of for five seconds is let in to learn: a gate shut on a stage would stay shut.
         if now - task.stage.learnt_at > 5000.0:
             return now < task.due
         # Many runs take longer than expected, so 1.3 of it is kept; with room a try or late utility is cheap.
-        finish = now + ahead + (1.3 if self.busy else 0.8) * self._service(task) + task.stage.away
+        finish = now + ahead + (1.3 if self.busy else 0.8) * self._service(task) + away
         return finish <= (task.limit if task.stage.late_utility and not self.busy else task.due)
 
     def _judge_fitness(self) -> None:
--- a/vetchford/startup.py
+++ b/vetchford/startup.py
@@ -30,8 +30,11 @@
     )
 
 
-def build(host: Host, seed: int, told: dict[str, Any], cold: bool) -> rules.Node:
-    """The module's parts, each from its own few settings; `cold`: its speed still rises from the start."""
+def build(host: Host, seed: int, told: dict[str, Any], cold: bool, pools: Any = None) -> rules.Node:
+    """The module's parts, each from its own few settings; `cold`: its speed still rises from the start.
+
+    `pools`: a `vetchford.pools.decide.PoolSet` for these stages, where there are to be pools.
+    """
     info = told.get("familyInfo") or {}
     limits = told.get("rules") or {}
     goal = told.get("goal") or {}
@@ -39,17 +42,18 @@
     caps = told.get("caps") or {}
     cores = info.get("cores") or 0
     if cores < 1:
-        raise MalformedError("settings key 'familyInfo.cores' must be 1 or more")
+        raise MalformedError("key 'settings.familyInfo.cores' must be 1 or more")
     classes = told.get("requestClasses") or []
     if not classes:
-        raise MalformedError("settings key 'requestClasses' names no stage")
+        raise MalformedError("key 'settings.requestClasses' names no stage")
     skips = info.get("classSkipWorth") or []
     stages = []
     for at, entry in enumerate(classes):
         if entry.get("effect") not in EFFECTS:
-            raise MalformedError(f"settings key 'requestClasses[{at}].effect' is none that is known")
+            known = ", ".join(EFFECTS)
+            raise MalformedError(f"key 'settings.requestClasses[{at}].effect' must be one of {known}")
         if not entry.get("deadline"):
-            raise MalformedError(f"settings key 'requestClasses[{at}].deadline' must be above 0")
+            raise MalformedError(f"key 'settings.requestClasses[{at}].deadline' must be above 0")
         limit = entry["deadline"] / NS_PER_MS
         stages.append(
             rules.Stage(
@@ -105,4 +109,5 @@
         can_stop=info.get("halt") in ("drop", "pause"),
         worst_weight=(goal.get("worstClass") or 0.0) / rest,
         grace=(limits.get("drainGrace") or 0) / NS_PER_MS,
+        pools=pools,
     )
