--- a/vetchford/pools/decide.py
+++ b/vetchford/pools/decide.py
@@ -305,9 +305,14 @@
     # -- calls
 
     def callable(self, now: float, waiting: Iterable[Any], whole: float) -> list[Any]:
-        """The waiting tasks of the pool whose call goes out next; none where each pool has its number out."""
+        """The waiting tasks of the pool whose call goes out next; none where each pool has its number out.
+
+        What may skip calls only while nothing waits that must: the ledger's time is worth more to the latter.
+        """
         by_pool: dict[int, list[Any]] = {}
-        for task in waiting:
+        waiting = list(waiting)
+        must = [task for task in waiting if not task.stage.skip_utility]
+        for task in must or waiting:
             by_pool.setdefault(task.pool, []).append(task)
         self.calls.advance(now)
         free = []
@@ -324,9 +329,13 @@
         useful = task.limit if task.stage.late_utility else max(task.due, now + 1.0)
         return min(now + self.terms[task.pool].call_budget, useful)
 
-    def over_line(self, p: int, lined: int) -> bool:
-        """Whether so many that wait for a call are more than its calls: what may skip does."""
-        return lined > self.limits[p].limit
+    def skips(self, p: int, waiting: Iterable[Any]) -> bool:
+        """Whether one that may skip does: its line is longer than its calls, or others that must call wait."""
+        waiting = list(waiting)
+        if any(not task.stage.skip_utility for task in waiting):
+            self.host.bound(p, "skip")
+            return True
+        return sum(task.pool == p for task in waiting) > self.limits[p].limit
 
     def call_time(self, now: float, p: int) -> float:
         """What a call takes just now; one that is out for longer tells more than those before it."""
--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -473,7 +473,7 @@
 
     def _over_line(self, task: Task) -> bool:
         if self.pools is not None:
-            return self.pools.over_line(task.pool, self._lined(task.pool))
+            return self.pools.skips(task.pool, self.waiting.values())
         return len(self.waiting) > self.calls.bound()
 
     def _fill(self, now: float) -> None:
