--- a/vetchford/pools/decide.py
+++ b/vetchford/pools/decide.py
@@ -330,7 +330,7 @@
         return min(now + self.terms[task.pool].call_budget, useful)
 
     def skips(self, p: int, waiting: Iterable[Any]) -> bool:
-        """Whether one that may skip does: its line is longer than its calls, or others that must call wait."""
+        """Whether one that may skip does: its line is longer than its calls, or one that must call waits."""
         waiting = list(waiting)
         if any(not task.stage.skip_utility for task in waiting):
             self.host.bound(p, "skip")
