--- a/standins/load.py
+++ b/standins/load.py
@@ -78,6 +78,8 @@
     ) -> None:
         """`due` and `limit` in ms; `repeats`: the part of keyed tasks that come again 0.3 s later."""
         self.port, self.due, self.limit, self.seconds = port, due, limit, seconds
+        self.cut: list[tuple[float, str]] = []  # when a connection ended, and the key of a task open on it
+        self.crossed = 0  # tasks that crossed the close of an idle connection
         chance = random.Random(seed)
         self.plan: list[Sent] = []
         for flow in flows:
@@ -150,9 +152,10 @@
         except OSError:  # closed while it was idle: the task never arrived
             with self.lock:
                 line.going = True
-                del line.open[number]
-            tally.tried -= 1
-            self.send(number, sent)
+                arrived = line.open.pop(number, None) is None  # its end was seen already
+            if not arrived:
+                tally.tried -= 1
+                self.send(number, sent)
 
     def line(self) -> "Line | None":
         """The connection with the least open, a new one where all have some; None where all are full."""
@@ -162,7 +165,10 @@
             if line is None or (len(line.open) >= 2 and len(usable) < self.most):
                 used = {line.number for line in usable}
                 number = next(n for n in range(1, self.most + 1) if n not in used)
-                line = Line(number, socket.create_connection(("127.0.0.1", self.port), 10.0))
+                try:
+                    line = Line(number, socket.create_connection(("127.0.0.1", self.port), 2.0))
+                except OSError:
+                    return None  # nobody there: the task never left
                 self.lines.append(line)
                 self.selector.register(line.sock, selectors.EVENT_READ, line)
             return line if len(line.open) < MOST_OPEN else None
@@ -178,11 +184,22 @@
                     data = b""
                 if not data:
                     self.selector.unregister(line.sock)
-                    line.going = True
+                    self.ended(line)
                     continue
                 line.buffer += data
                 self.take(line)
 
+    def ended(self, line: "Line") -> None:
+        """Its open tasks are lost, but for those that were sent just as an idle connection was closed."""
+        now = time.time() - self.began
+        with self.lock:
+            line.going, left, line.open = True, list(line.open.values()), {}
+        crossing = all(now - sent.at < 0.06 for sent in left)
+        for sent in left:
+            self.crossed += crossing
+            if not crossing:
+                self.cut.append((now, sent.key))
+
     def take(self, line: "Line") -> None:
         buffer = line.buffer
         while (head := buffer.find(b"\r\n\r\n")) >= 0:
@@ -218,6 +235,6 @@
                 tally.served_at.append(now)
         elif message["error"]["code"] == -32050:
             tally.rejected += 1
-            tally.told_later += message["error"]["data"].get("later", 0) > 0
+            tally.told_later += message["error"].get("data", {}).get("later", 0) > 0
         else:
             tally.failed += 1
--- a/standins/script.py
+++ b/standins/script.py
@@ -32,7 +32,9 @@
         self.process.start()
         if not self.pipe.poll(20.0):
             raise RuntimeError("a stand-in did not start")
-        self.address = f"127.0.0.1:{self.pipe.recv()}"
+        told = self.pipe.recv()
+        self.ports = told if isinstance(told, list) else [told]
+        self.address = f"127.0.0.1:{self.ports[0]}"
 
     def begin(self, at: float) -> None:
         """The scripts count from `at`, in Unix seconds."""
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -79,6 +79,19 @@
             self.sock.sendall(json.dumps(message).encode() + b"\n")
 
 
+def serve_many(pipe: Any, count: int, cores: float) -> None:
+    """As `serve`, of several pools: sends their ports, and what they counted together."""
+    pools = [Workers(cores, Script([(0.0, 0.0)])) for _ in range(count)]
+    pipe.send([pool.listener.getsockname()[1] for pool in pools])
+    while pipe.recv() is not None:
+        pass
+    ran: dict[str, int] = {}
+    for pool in pools:
+        for key, times in pool.ran.items():
+            ran[key] = ran.get(key, 0) + times
+    pipe.send({"ran": ran})
+
+
 def serve(pipe: Any, cores: float, taken: list[tuple[float, float]]) -> None:
     workers = Workers(cores, Script(taken))
     pipe.send(workers.listener.getsockname()[1])
--- /dev/null
+++ b/tests/fleet/test_fleet_model.py
@@ -0,0 +1,263 @@
+"""Roll-outs over a world of processes that crash, hang and never come up, with the agent killed in between.
+
+The world is the plain model: it knows each process and checks every act of the decisions against it.
+"""
+
+import copy
+import random
+
+import pytest
+
+from vetchford.fleet import decide
+from vetchford.fleet.decide import Change, Fleet, RefusedError, Terms
+
+STOP, READY = 400.0, 1500.0
+
+
+class KilledError(Exception):
+    """The agent dies here."""
+
+
+class World:
+    """Processes by instance: when each is ready, will end, and what it does on SIGTERM."""
+
+    def __init__(self, seed):
+        self.chance, self.now, self.store = random.Random(seed), 0.0, {}
+        self.up, self.told, self.kills, self.serving, self.floor, self.scope = {}, {}, [], set(), 0, set()
+        self.dies_in, self.full, self.orders, self.bad = -1, False, set(), ()
+
+    def maybe_die(self):
+        self.dies_in -= 1
+        if self.dies_in == 0:
+            raise KilledError
+
+    def record(self, kind, name, body):
+        self.maybe_die()
+        if self.full:
+            raise OSError("full")
+        if body is None:
+            self.store.pop((kind, name), None)
+        else:
+            self.store[kind, name] = copy.deepcopy(body)
+
+    def spawn(self, name, version):
+        self.maybe_die()
+        assert name not in self.up, "a second process of one instance"
+        bad = version in self.bad
+        hang = self.chance.random() < 0.15
+        self.up[name] = {
+            "version": version,
+            "ready": self.now + (1e9 if bad else self.chance.uniform(50, 400)),
+            "ends": 1e12,
+            "hangs": hang,
+        }
+        self.maybe_die()
+
+    def term(self, name):
+        self.maybe_die()
+        assert name in self.up, "SIGTERM to nobody"
+        if name in self.serving and name in self.scope:
+            assert len((self.serving & self.scope) - {name}) >= self.floor, "under the floor"
+        self.serving.discard(name)
+        process = self.up[name]
+        self.told.setdefault(name, self.now)
+        if not process["hangs"]:
+            process["ends"] = min(process["ends"], self.now + self.chance.uniform(10, 300))
+        self.maybe_die()
+
+    def kill(self, name):
+        assert name in self.up and self.now - self.told[name] >= STOP, "killed before its stop time"
+        self.kills.append(name)
+        self.up[name]["ends"] = self.now
+        self.maybe_die()
+
+    def note(self, event, **fields):
+        assert "event" not in fields
+
+
+def fleet_of(world, names, restored):
+    fleet = Fleet(world)
+    for name in names:
+        fleet.declare(name, Terms(group=name[0], stop_ms=STOP, ready_ms=READY), "v1")
+    if restored:
+        for (kind, name), body in world.store.items():
+            fleet.restore(kind, name, copy.deepcopy(body))
+    world.serving = set()
+    for name in names:
+        fleet.found(world.now, name, world.up[name]["version"] if name in world.up else None)
+    return fleet
+
+
+def play(seed, crashes, length=12_000.0, batch=2, floor=4, on_failure="go_on", random_exits=True, bad=()):
+    world, names = World(seed), [f"{group}{n}" for group in "ab" for n in range(4)]
+    world.bad = bad
+    chance = random.Random(seed + 1000)
+    fleet = fleet_of(world, names, False)
+    fleet.ask(0.0, Change("up", "start", names, batch=8))
+    asked, died = False, 0
+    while world.now < length:
+        world.now += 50.0
+        if crashes and chance.random() < 0.2:
+            world.dies_in = chance.randrange(1, 12)
+        try:
+            for name in list(world.up):
+                process = world.up[name]
+                if (
+                    random_exits
+                    and not asked
+                    and fleet.changes["up"].state in decide.ENDED
+                    and chance.random() < 0.0005
+                ):
+                    process["ends"] = world.now
+                if process["ends"] <= world.now:
+                    del world.up[name]
+                    world.told.pop(name, None)
+                    world.serving.discard(name)
+                    fleet.exited(world.now, name, 0)
+            for name, process in list(world.up.items()):
+                good = world.now >= process["ready"] and name not in world.told
+                if good:
+                    world.serving.add(name)
+                fleet.checked(world.now, name, good)
+            if world.now >= 3000.0 and not asked and fleet.changes["up"].state in decide.ENDED:
+                asked, world.floor, world.scope = True, floor, set(names)
+                change = Change("roll", "roll", names, "v2", batch, floor, 100.0, 300.0, on_failure)
+                fleet.ask(world.now, change)
+            elif asked and "roll" not in fleet.changes:  # died before it was on record: asked again
+                asked = False
+            fleet.woke(world.now)
+        except KilledError:
+            died, world.dies_in = died + 1, -1
+            world.told = {name: at for name, at in world.told.items() if name in world.up}
+            try:
+                fleet = fleet_of(world, names, True)
+            except RefusedError:
+                raise AssertionError("a restart that refuses") from None
+            if "up" not in fleet.changes:
+                fleet.ask(world.now, Change("up", "start", names, batch=8))
+    return world, fleet, died
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_a_roll_ends_with_every_instance_on_the_new_version_and_the_floor_held(seed):
+    world, fleet, _ = play(seed, crashes=False, length=25_000.0)
+    assert fleet.changes["roll"].state == decide.FINISHED
+    assert {process["version"] for process in world.up.values()} == {"v2"} and len(world.up) == 8
+    assert set(world.kills) <= set(fleet.changes["roll"].killed) | set(fleet.changes["up"].killed)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_an_agent_killed_anywhere_goes_on_and_never_starts_a_second_process(seed):
+    world, fleet, died = play(seed, crashes=True, length=60_000.0, random_exits=False)
+    assert died >= 2
+    assert fleet.changes["roll"].state in decide.ENDED
+    for name, instance in fleet.instances.items():
+        assert (instance.state in decide.ALIVE) == (name in world.up)
+        if name in world.up and instance.state == decide.SERVING:
+            assert world.up[name]["version"] == "v2"
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_version_that_never_gets_ready_is_rolled_back_and_the_floor_held(seed):
+    world, fleet, _ = play(seed, False, 40_000.0, on_failure="back", random_exits=False, bad=("v2",))
+    change = fleet.changes["roll"]
+    assert change.state == decide.BROKEN and change.why == "gone back"
+    assert {process["version"] for process in world.up.values()} == {"v1"} and len(world.up) == 8
+    assert sum(name in world.up and world.up[name]["version"] == "v2" for name in world.up) == 0
+
+
+def test_a_version_that_never_gets_ready_pauses_the_change_after_its_first_batch_and_resumes():
+    world, fleet, _ = play(3, False, 12_000.0, on_failure="pause", random_exits=False, bad=("v2",))
+    change = fleet.changes["roll"]
+    assert change.state == decide.PAUSED and list(change.steps.values()).count(decide.PENDING) >= 6
+    world.bad = ()
+    fleet.resume(world.now, "roll")
+    assert change.state == decide.RUNNING and decide.LOST not in change.steps.values()
+
+
+def settled(names="abc", group="g"):
+    world = World(1)
+    world.chance = random.Random(5)
+    fleet = Fleet(world)
+    for name in names:
+        fleet.declare(name, Terms(group=group, stop_ms=STOP, ready_ms=READY), "v1")
+        fleet.found(0.0, name, None)
+    fleet.ask(0.0, Change("up", "start", list(names), batch=9, soak=0.0))
+    for name in names:
+        fleet.checked(1.0, name, True)
+    fleet.woke(10.0)
+    assert fleet.changes["up"].state == decide.FINISHED
+    return world, fleet
+
+
+def test_the_same_command_twice_is_one_change_and_two_on_the_same_instances_are_refused():
+    world, fleet = settled()
+    first = fleet.ask(20.0, Change("r", "restart", ["a", "b"], soak=10.0))
+    assert fleet.ask(21.0, Change("r", "restart", ["a", "b"], soak=10.0)) is first
+    with pytest.raises(RefusedError, match="id r is another"):
+        fleet.ask(22.0, Change("r", "restart", ["a"]))
+    with pytest.raises(RefusedError, match="b is in change r, which is running"):
+        fleet.ask(22.0, Change("s", "stop", ["b", "c"]))
+    for wrong, why in (
+        (Change("x", "stop", ["z"]), "no such instance: z"),
+        (Change("x", "stop", []), "names no"),
+        (Change("x", "melt", ["c"]), "none that is known"),
+        (Change("x", "stop", ["c", "c"]), "named twice"),
+        (Change("x", "stop", ["c"], floor=3), "under the floor of 3"),
+    ):
+        with pytest.raises(RefusedError, match=why):
+            fleet.ask(23.0, wrong)
+
+
+def test_one_that_hangs_in_its_drain_is_killed_at_its_stop_time_and_reported():
+    world, fleet = settled("a")
+    world.up["a"]["hangs"] = True
+    world.now = 100.0
+    fleet.ask(100.0, Change("stop", "stop", ["a"]))
+    fleet.woke(100.0 + STOP - 1.0)
+    assert not world.kills
+    world.now = 100.0 + STOP
+    fleet.woke(100.0 + STOP)
+    assert world.kills == ["a"] and fleet.instances["a"].state == decide.STOPPING
+    fleet.exited(510.0, "a", -9)
+    assert fleet.changes["stop"].state == decide.FINISHED and fleet.changes["stop"].killed == ["a"]
+    assert fleet.instances["a"].killed == 1
+
+
+def test_a_crash_loop_backs_off_and_ends_and_a_stable_one_starts_afresh():
+    world, fleet = settled("a")
+    now, starts = 100.0, []
+    for _ in range(400):
+        if "a" in world.up:
+            del world.up["a"]
+            starts.append(now)
+            fleet.exited(now, "a", 1)
+        now += 500.0
+        fleet.woke(now)
+    gaps = [b - a for a, b in zip(starts, starts[1:], strict=False)]
+    assert fleet.instances["a"].state == decide.FAILED and len(starts) == decide.LOOP + 1
+    assert gaps == sorted(gaps) and gaps[-1] >= 8 * gaps[0]
+
+
+def test_a_full_store_begins_nothing_more_and_pauses_the_change():
+    world, fleet = settled()
+    fleet.ask(20.0, Change("r", "restart", ["a", "b", "c"], soak=0.0))
+    world.full = True
+    world.up.pop("a")
+    fleet.exited(300.0, "a", 0)
+    assert fleet.changes["r"].state == decide.PAUSED and "the store failed" in fleet.changes["r"].why
+    assert set(world.up) == {"b", "c"}
+    world.full = False
+    fleet.resume(400.0, "r")
+    assert set(world.up) == {"a", "b", "c"}
+
+
+def test_an_aborted_change_brings_back_what_is_out_and_takes_no_more():
+    world, fleet = settled()
+    fleet.ask(20.0, Change("r", "restart", ["a", "b", "c"], soak=0.0))
+    fleet.abort(30.0, "r")
+    world.up.pop("a")
+    fleet.exited(200.0, "a", 0)
+    fleet.woke(300.0)
+    assert set(world.up) == {"a", "b", "c"} and fleet.changes["r"].state == decide.ABORTED
+    assert not [name for name in "bc" if fleet.instances[name].state != decide.SERVING]
--- a/vetchford/cli.py
+++ b/vetchford/cli.py
@@ -4,6 +4,8 @@
   vetchford [options] [--with FILE]... serve
   vetchford [options] [--with FILE]... check
   vetchford [options] [--with FILE]... settings [--schema]
+  vetchford [options] [--with FILE]... agent
+  vetchford fleet [ARGUMENT...]
   vetchford [options] version
   vetchford (-h | --help | --version)
 
@@ -14,6 +16,8 @@
             Without a configuration file it checks the files given by --with alone
   settings  print what was understood of the configuration, as JSON;
             with --schema, what a file given by --with may hold, in its own form
+  agent     own the instances that the files given by --with name, until SIGTERM; they go on without it
+  fleet     ask agents to start, stop, restart, roll and show instances; `vetchford fleet --help`
   version   print the version
 
 Options:
@@ -45,8 +49,13 @@
 
 
 def main(argv: list[str] | None = None) -> int:
+    given = sys.argv[1:] if argv is None else argv
+    if given[:1] == ["fleet"]:
+        from vetchford.fleet import cli  # a server does without it
+
+        return cli.main(given[1:])
     try:
-        asked = docopt(__doc__, argv, version=vetchford.__version__)
+        asked = docopt(__doc__, given, version=vetchford.__version__)
     except DocoptExit:
         return complain("wrong usage; `vetchford --help` tells how")
     for option, known in (("--log-level", tuple(logs.LEVELS)), ("--log-form", logs.FORMS)):
@@ -60,6 +69,8 @@
 
         print(apart.schema(), end="")
         return 0
+    if asked["agent"]:
+        return run_agent(asked)
     load = partial(configuration.load, path=asked["--config"], ours=asked["--with"])
     try:
         if asked["check"] and asked["--with"] and not (asked["--config"] or os.environ.get("ROUTER_CONFIG")):
@@ -85,6 +96,23 @@
         writer.close()
 
 
+def run_agent(asked: dict) -> int:
+    from vetchford.declared import apart  # a server does without both
+    from vetchford.fleet import agent
+
+    try:
+        told = apart.read(asked["--with"], None)["agent"] if asked["--with"] else None
+    except MalformedError as problem:
+        return complain(str(problem))
+    if told is None:
+        return complain("no file given by --with has the key 'agent'")
+    writer = logs.begin(asked["--log-level"], asked["--log-form"])
+    try:
+        return agent.serve(told)
+    finally:
+        writer.close()
+
+
 def complain(text: str) -> int:
     for line in text.splitlines():
         print(f"vetchford: {line}", file=sys.stderr)
--- a/vetchford/declared/records.py
+++ b/vetchford/declared/records.py
@@ -22,9 +22,34 @@
     call_budget: float | None = None
 
 
+class Instance(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """As #Instance of the schema; durations in ms."""
+
+    command: Annotated[list[str], Meta(min_length=1)]
+    listen: Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    version: str
+    group: str
+    labels: list[str]
+    stop_ms: float
+    ready_ms: float
+    restart: bool
+    environment: dict[str, str]
+
+
+class Agent(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """As #Agent of the schema."""
+
+    socket: Annotated[str, Meta(min_length=1, max_length=100)]
+    store: Annotated[str, Meta(min_length=1)]
+    logs: Annotated[str, Meta(min_length=1)]
+    instances: Annotated[dict[str, Instance], Meta(min_length=1, max_length=1000)]
+    versions: dict[str, list[str]]
+
+
 class Declared(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     version: Literal[1]
     pools: Literal["none", "derived"] | Annotated[dict[str, Pool], Meta(max_length=16)]
+    agent: Agent | None = None
 
 
 def typed(plain: object) -> Declared:
