Agent: a full store stops no kill, lost descriptors hide no instance and shut no tool out

A store that can't write raised before the kill of a hung instance and out of a restart, which in a debug build ended the agent's thread; a process that could not be watched for want of a descriptor ran on unseen, and one that could not be looked at on adoption would have got a second beside it; an accept that failed ended the thread that takes tools. What: the kill goes first, a restart waits for the store, such processes are killed or end the start with a reason, accept goes on.

--- a/tests/fleet/test_fleet_model.py
+++ b/tests/fleet/test_fleet_model.py
@@ -252,6 +252,21 @@
     assert set(world.up) == {"a", "b", "c"}
 
 
+def test_a_full_store_keeps_no_hung_instance_from_its_kill_and_no_crashed_one_down_for_good():
+    world, fleet = settled("ab")
+    world.up["a"]["hangs"], world.now = True, 100.0
+    fleet.ask(100.0, Change("stop", "stop", ["a"]))
+    world.full = True
+    del world.up["b"]
+    fleet.exited(150.0, "b", 1)
+    world.now = 1000.0
+    fleet.woke(1000.0)
+    assert world.kills == ["a"] and "b" not in world.up and "the store failed" in fleet.instances["b"].why
+    world.full = False
+    fleet.woke(2500.0)
+    assert "b" in world.up
+
+
 def test_an_aborted_change_brings_back_what_is_out_and_takes_no_more():
     world, fleet = settled()
     fleet.ask(20.0, Change("r", "restart", ["a", "b", "c"], soak=0.0))
--- a/vetchford/fleet/agent.py
+++ b/vetchford/fleet/agent.py
@@ -353,7 +353,12 @@
     def accept() -> None:
         while True:
             free.acquire()
-            threading.Thread(target=talk, args=(agent, sock.accept()[0], free), daemon=True).start()
+            try:
+                threading.Thread(target=talk, args=(agent, sock.accept()[0], free), daemon=True).start()
+            except (OSError, RuntimeError) as problem:  # descriptors or threads ran out: tools wait
+                free.release()
+                counts.note("accept_failed", problem=str(problem))
+                time.sleep(0.1)
 
     agent.begin()
     threading.Thread(target=accept, daemon=True).start()
--- a/vetchford/fleet/decide.py
+++ b/vetchford/fleet/decide.py
@@ -11,6 +11,7 @@
 Whatever is asked for is checked before it begins; what would break the floor is refused or waits.
 """
 
+import contextlib
 from dataclasses import asdict, dataclass, field
 from typing import Any, Protocol
 
@@ -37,6 +38,7 @@
 KILL_AGAIN = (
     1000.0  # ms: one that SIGKILL has not ended hangs in the kernel; asked again, told as unknown by then
 )
+STORE_AGAIN = 1000.0  # ms until a restart is tried again that the store could not take
 CHANGES_KEPT = 50  # ended ones in the table; older ones are in the store's history
 
 
@@ -205,8 +207,10 @@
         """Several times a second."""
         for instance in self.instances.values():
             if instance.again_at and now >= instance.again_at and instance.wanted:
-                instance.again_at = 0.0
-                self.come(now, instance, "restarted")
+                try:
+                    self.come(now, instance, "restarted")
+                except OSError as problem:  # not on record, so not begun; asked again while the store can't
+                    instance.again_at, instance.why = now + STORE_AGAIN, f"the store failed: {problem}"
             elif instance.state == STARTING and now >= instance.deadline:
                 self.leave(now, instance, "not ready in its time")
                 if instance.wanted and not self.owner(instance.name):
@@ -221,8 +225,9 @@
                 owner = self.owner(instance.name)
                 if owner is not None and instance.name not in owner.killed:
                     owner.killed.append(instance.name)
-                self.keep(instance)
                 self.host.kill(instance.name)
+                with contextlib.suppress(OSError):  # a count alone: what is due is done all the same
+                    self.keep(instance)
             elif instance.state == STOPPING and now >= instance.deadline:
                 instance.deadline = now + KILL_AGAIN
                 self.host.kill(instance.name)
@@ -480,5 +485,6 @@
     def prune(self) -> None:
         ended = [change.id for change in self.changes.values() if change.state in ENDED]
         for id in ended[: max(0, len(ended) - CHANGES_KEPT)]:
-            del self.changes[id]
-            self.host.record("change", id, None)
+            with contextlib.suppress(OSError):  # it stays, and is dropped with the next
+                self.host.record("change", id, None)
+                del self.changes[id]
--- a/vetchford/fleet/processes.py
+++ b/vetchford/fleet/processes.py
@@ -67,7 +67,12 @@
         child = subprocess.Popen(
             command, stdin=subprocess.DEVNULL, stdout=file, stderr=file, env=told, start_new_session=True
         )
-    return Process(child.pid, began(child.pid) or "", os.pidfd_open(child.pid), child)
+    try:
+        return Process(child.pid, began(child.pid) or "", os.pidfd_open(child.pid), child)
+    except OSError:  # no descriptor left: one that can't be watched must not run
+        child.kill()
+        child.wait()
+        raise
 
 
 def find(token: str) -> dict[str, list[tuple[Process, str]]]:
@@ -88,8 +93,8 @@
             if os.getsid(pid) != pid:
                 continue
             pidfd = os.pidfd_open(pid)
-        except OSError:
-            continue
+        except ProcessLookupError:
+            continue  # gone meanwhile; whatever else goes wrong, one that runs must not be overlooked
         if began(pid) != before:  # another by that number since
             os.close(pidfd)
             continue
