Peers: frames, lives and links between our programs, decided without I/O

Agents, and later servers, need one way to talk that knows what is late, doubled or of an earlier life, and tells a mute peer from one that is gone. A gap between two turns of our own holds nobody for late. Tested against a plain set (20,000 sequences), cut at random places, with every byte spoilt.

--- /dev/null
+++ b/tests/peers/test_peers.py
@@ -0,0 +1,263 @@
+"""Whom of our own programs to hear: lives, sequences, mute and silent peers, back-off, bounds; frames."""
+
+import random
+
+import pytest
+
+from vetchford.peers import frames
+from vetchford.peers.decide import (
+    BACK_OFF_MOST,
+    GIVEN_UP,
+    GREETING,
+    GREETS,
+    OFF,
+    SILENT,
+    SILENT_NOW,
+    UP,
+    WINDOW,
+    Outbox,
+    Peers,
+    Window,
+)  # fmt: skip
+from vetchford.peers.frames import Envelope, FrameError
+
+
+class Side:
+    """A host that records; `give` is what the other side says."""
+
+    def __init__(self, name="a", others=("b", "c"), life=3):
+        self.said, self.shut_links, self.dialled, self.counted, self.got, self.met_lives = (
+            [],
+            [],
+            [],
+            [],
+            [],
+            [],
+        )
+        self.outlived_by = []
+        self.peers = Peers(self, "pay", name, {other: "10.0.0.1" for other in others}, 1, life, 77)
+        self.sequences = {}
+
+    def dial(self, peer, link):
+        self.dialled.append((peer, link))
+
+    def write(self, link, kind, body, sequence):
+        self.said.append((link, kind, body, sequence))
+        return True
+
+    def shut(self, link):
+        self.shut_links.append(link)
+
+    def deliver(self, peer, kind, body):
+        self.got.append((peer, kind, body))
+
+    def linked(self, peer, state):
+        pass
+
+    def met(self, peer, life, nonce):
+        self.met_lives.append((peer, life))
+
+    def outlived(self, life, nonce):
+        self.outlived_by.append(life)
+
+    def count(self, name, **fields):
+        self.counted.append((name, fields.get("why", "")))
+
+    def give(self, now, link, kind, body=None, sender="b", life=5, nonce=9, sequence=None, fleet="pay"):
+        if sequence is None:
+            sequence = self.sequences[link] = self.sequences.get(link, 0) + 1
+        self.peers.heard(now, link, Envelope(fleet, sender, life, nonce, sequence, kind, body))
+
+    def wait(self, until):
+        while self.peers.woken < until:
+            self.peers.woke(self.peers.woken + 100.0)
+
+    def up(self, now=0.0):
+        """A stream with b, called for by us."""
+        self.peers.woke(now)
+        link = next(link for peer, link in self.dialled[::-1] if peer == "b")
+        self.peers.opened(now, link)
+        self.give(now, link, "hello", {"to": self.peers.name, "knows": [0, 0]})
+        return link
+
+
+def test_a_pair_has_one_stream_called_for_by_the_first_in_order():
+    first, second = Side("a", ["b"]), Side("b", ["a"])
+    first.peers.woke(0.0)
+    second.peers.woke(0.0)
+    assert len(first.dialled) == 1 and not second.dialled
+    link = second.peers.accepted(0.0, "10.0.0.1")
+    second.give(0.0, link, "hello", {"to": "b", "knows": [3, 77]}, sender="a")
+    assert second.peers.peers["a"].state == UP and second.said[0][1] == "hello"
+    newer = second.peers.accepted(1.0, "10.0.0.1")
+    second.give(1.0, newer, "hello", {"to": "b", "knows": [3, 77]}, sender="a")
+    assert second.shut_links == [link] and second.peers.peers["a"].link == newer
+
+
+def test_a_peer_that_accepts_and_says_nothing_is_told_from_one_that_is_gone():
+    side = Side()
+    side.peers.woke(0.0)
+    gone, mute = (link for _, link in side.dialled)
+    side.peers.closed(1.0, gone, "no connection: Connection refused")
+    side.peers.opened(1.0, mute)
+    assert side.peers.peers["c"].state == GREETING
+    side.wait(GREETS + 100.0)
+    table = {name: peer.last for name, peer in side.peers.peers.items()}
+    assert table["b"] == "no connection: Connection refused"
+    assert table["c"] == "connected, and no word came" and ("peer_dropped", "mute") in side.counted
+
+
+def test_a_silent_one_keeps_its_stream_for_a_while_and_is_then_given_up():
+    side = Side(others=["b"])
+    link = side.up()
+    for now in range(100, int(SILENT) + 200, 100):
+        side.peers.woke(float(now))
+    assert side.peers.peers["b"].state == SILENT_NOW
+    side.give(2800.0, link, "beat")
+    assert side.peers.peers["b"].state == UP
+    for now in range(2900, int(2800 + GIVEN_UP) + 200, 100):
+        side.peers.woke(float(now))
+    assert side.peers.peers["b"].state == OFF and ("peer_dropped", "silent") in side.counted
+
+
+def test_one_that_was_stopped_itself_holds_nobody_for_silent():
+    side = Side(others=["b"])
+    side.up()
+    side.peers.woke(100.0)
+    side.peers.woke(31_000.0)
+    assert side.peers.peers["b"].state == UP
+
+
+@pytest.mark.parametrize(
+    ("given", "why"),
+    [
+        ({"fleet": "other"}, "another fleet"),
+        ({"sender": "x"}, "not listed"),
+        ({"sender": "c"}, "another's name"),
+    ],
+)
+def test_strangers_are_refused_in_one_counted_line(given, why):
+    side = Side()
+    link = side.up()
+    side.give(1.0, link, "news", **given)
+    assert not side.got and ("peer_refused", why) in side.counted and link in side.shut_links
+
+
+def test_an_address_that_is_not_listed_and_a_crowd_of_silent_ones_are_refused_at_the_door():
+    side = Side("z", ["b"])
+    assert side.peers.accepted(0.0, "10.9.9.9") == 0
+    taken = [side.peers.accepted(0.0, "10.0.0.1") for _ in range(10)]
+    assert taken.count(0) == 6
+    side.wait(GREETS + 100.0)
+    assert not side.peers.links
+
+
+def test_words_of_an_earlier_life_and_of_a_twin_are_known_and_the_speaker_hears_so():
+    side = Side("z", ["b"])
+    link = side.peers.accepted(0.0, "10.0.0.1")
+    side.give(0.0, link, "hello", {"to": "z", "knows": [0, 0]}, life=5)
+    assert side.met_lives == [("b", 5)]
+    for life, nonce, why in ((4, 9, "earlier_life"), (5, 8, "twin")):
+        late = side.peers.accepted(1.0, "10.0.0.1")
+        side.give(1.0, late, "hello", {"to": "z", "knows": [0, 0]}, life=life, nonce=nonce)
+        side.give(1.0, late, "news", "old", life=life, nonce=nonce)
+        assert ("peer_of_another_life", why) in side.counted and not side.got
+        assert [said[2] for said in side.said if said[0] == late] == [{"to": "b", "knows": [5, 9]}]
+    assert side.peers.peers["b"].link == link
+    side.give(2.0, link, "news", "of now")
+    assert side.got == [("b", "news", "of now")]
+
+
+def test_a_later_life_of_ours_that_somebody_knows_is_told():
+    side = Side(others=["b"], life=3)
+    side.peers.woke(0.0)
+    link = side.dialled[0][1]
+    side.peers.opened(0.0, link)
+    side.give(0.0, link, "hello", {"to": "a", "knows": [3, 77]})
+    assert not side.outlived_by  # that is us
+    side.peers.compare(3, 78)
+    side.peers.compare(7, 1)
+    assert side.outlived_by == [3, 7]
+
+
+def test_doubled_messages_are_dropped_and_gaps_counted():
+    side = Side(others=["b"])
+    link = side.up()
+    side.give(1.0, link, "news", 1, sequence=2)
+    side.give(1.0, link, "news", 1, sequence=2)
+    side.give(1.0, link, "news", 2, sequence=9)
+    assert [body for _, _, body in side.got] == [1, 2]
+    assert {why for name, why in side.counted if name == "peer_out_of_sequence"} == {"doubled", "gap"}
+
+
+def test_back_off_doubles_to_its_bound_and_is_spread():
+    waits = []
+    side = Side(others=["b"])
+    for n in range(12):
+        side.peers.woke(1e6 * n)
+        side.peers.closed(1e6 * n, side.dialled[-1][1], "refused")
+        waits.append(side.peers.peers["b"].again_at - 1e6 * n)
+    assert waits[0] < 400.0 and 0.5 * BACK_OFF_MOST <= waits[-1] <= 1.5 * BACK_OFF_MOST
+    assert len({round(wait, 3) for wait in waits}) == 12
+    assert len(side.dialled) == 12 and not side.peers.links
+
+
+def test_a_window_takes_each_datagram_once_in_any_order_against_a_plain_set():
+    chance, window, seen = random.Random(4), Window(), set()
+    newest = 0
+    for _ in range(20_000):
+        sequence = max(1, newest + chance.randint(-WINDOW - 20, 6))
+        wants = "late" if newest - sequence >= WINDOW else "doubled" if sequence in seen else ""
+        assert window.take(sequence) == wants
+        if not wants:
+            seen.add(sequence)
+        newest = max(newest, sequence)
+
+
+def test_an_outbox_is_bounded_and_its_oldest_news_goes_first():
+    box = Outbox(most=4, most_bytes=100)
+    for n, kind in enumerate(("look", "book", "look", "book")):
+        box.put(kind, b"%d" % n)
+    assert box.put("order", b"4") == 1 and [data for _, data in box.items] == [b"1", b"2", b"3", b"4"]
+    box.put("order", b"5")
+    assert [data for _, data in box.items] == [b"1", b"3", b"4", b"5"]
+    box.put("order", b"6")  # no news is left: the oldest
+    assert box.take() == b"3" and box.dropped == 3
+    assert box.put("book", b"x" * 200) == 3 and box.bytes == 200  # the last is never dropped for its length
+    assert box.take() and box.bytes == 0 and box.take() is None
+
+
+def test_frames_come_back_whole_however_they_are_cut():
+    stream, chance = frames.Stream(), random.Random(2)
+    said = [Envelope("pay", "a", 1, 2, n, "news", {"x": ["y" * n, None, 1.5]}) for n in range(60)]
+    data = b"".join(map(frames.packed, said))
+    heard, at = [], 0
+    while at < len(data):
+        step = chance.randint(1, 200)
+        heard += stream.feed(data[at : at + step])
+        at += step
+    assert heard == said and not stream.data
+
+
+def test_what_is_no_frame_of_ours_is_refused_by_one_word():
+    good = frames.packed(Envelope("pay", "a", 1, 2, 3, "news", None))
+    assert frames.datagram(good).sequence == 3
+    wrong = {
+        b"": "no_frame",
+        b"GET / HTTP/1.1\r\n\r\n": "no_frame",
+        good[:2] + b"\x09" + good[3:]: "other_version",
+        good[:4] + b"\xff" * 4 + good[8:]: "too_long",
+        good[:-1] + b"\x00": "spoilt",
+        good + b"x": "malformed",
+    }
+    for data, word in wrong.items():
+        with pytest.raises(FrameError, match=word):
+            frames.datagram(data)
+    chance = random.Random(3)
+    for _ in range(2000):
+        spoilt = bytearray(good)
+        spoilt[chance.randrange(len(good))] ^= 1 << chance.randrange(8)
+        try:
+            assert frames.datagram(bytes(spoilt)).sequence == 3  # the reserved byte says nothing yet
+        except FrameError as problem:
+            assert str(problem) in frames.WRONG
--- /dev/null
+++ b/vetchford/peers/talk.py
@@ -0,0 +1,269 @@
+"""The sockets between programs: one port for datagrams and for streams, a reader and a writer for each
+stream.
+
+Host of `Peers`. All decisions are made on the thread of the actor that owns it; a peer that stalls holds up
+its own writer alone.
+"""
+
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+import structlog
+
+from vetchford.lifecycle.actor import Actor, begin_thread
+from vetchford.lifecycle.counts import Counts
+from vetchford.peers import frames
+from vetchford.peers.decide import Outbox, Peers
+from vetchford.peers.frames import Envelope, FrameError
+
+log = structlog.get_logger()
+
+DIALS = 1.0  # s for a connection: within a site one takes a few ms
+READ = 64 * 1024  # bytes at once
+
+
+class Owner(Protocol):
+    """Whose mailbox all of it comes to."""
+
+    def word(self, peer: str, kind: str, body: Any) -> None: ...
+
+    def datagram(self, peer: str, body: Any) -> None: ...
+
+    def linked(self, peer: str, state: str) -> None: ...
+
+    def met(self, peer: str, life: int, nonce: int) -> None: ...
+
+    def outlived(self, life: int, nonce: int) -> None: ...
+
+
+class Wire:
+    """One stream: its socket, and what waits to be written."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.outbox, self.ready, self.open = sock, Outbox(), threading.Condition(), True
+
+    def put(self, kind: str, data: bytes) -> int:
+        with self.ready:
+            dropped = self.outbox.put(kind, data)
+            self.ready.notify()
+        return dropped
+
+    def shut(self) -> None:
+        with self.ready:
+            self.open = False
+            self.ready.notify()
+        with contextlib.suppress(OSError):  # the other side was sooner
+            self.sock.shutdown(socket.SHUT_RDWR)
+
+
+def split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class Talk:
+    """Begun by `begin`; `woke` is called by its actor several times a second."""
+
+    def __init__(
+        self,
+        actor: Actor,
+        owner: Owner,
+        counts: Counts,
+        fleet: str,
+        name: str,
+        listen: str,
+        addresses: Mapping[str, str],
+        seed: int,
+        life: int,
+        nonce: int,
+    ) -> None:
+        """`addresses`: where each peer is to be found from here. OSError where `listen` can't be had."""
+        self.actor, self.owner, self.counts = actor, owner, counts
+        self.addresses = {peer: split(address) for peer, address in addresses.items() if peer != name}
+        self.decide = Peers(
+            self, fleet, name, {peer: host for peer, (host, _) in self.addresses.items()}, seed, life, nonce
+        )
+        self.wires: dict[int, Wire] = {}  # emptied as connections end
+        self.bytes_out = self.datagrams_out = 0
+        self.here = split(listen)
+        self.listener = socket.create_server(self.here, backlog=64)
+        try:
+            self.datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            self.datagrams.bind(self.here)
+        except OSError:
+            self.listener.close()
+            raise
+
+    def begin(self) -> None:
+        begin_thread(self.accept, "peers-door", self.counts)
+        begin_thread(self.read_datagrams, "peers-datagrams", self.counts)
+
+    def now(self) -> float:
+        return time.monotonic() * 1000.0
+
+    def woke(self) -> None:
+        self.decide.woke(self.now())
+
+    def renew(self, life: int, nonce: int) -> None:
+        """A new life: all connections are made anew under it."""
+        for number in list(self.decide.links):
+            self.decide.closed(self.now(), number, "a new life of ours")
+        self.decide.life, self.decide.nonce, self.decide.sequence = life, nonce, 0
+
+    def post(self, peer: str, kind: str, body: Any) -> bool:
+        return self.decide.post(self.now(), peer, kind, body)
+
+    def throw(self, peer: str, body: Any) -> None:
+        """A datagram; it may be lost."""
+        try:
+            data = frames.packed(self.envelope(self.decide.next_datagram(), "news", body))
+            if len(data) > frames.MOST_DATAGRAM:
+                self.counts.note("datagram_too_long", bytes=len(data))
+                return
+            self.bytes_out += len(data)
+            self.datagrams_out += 1
+            self.datagrams.sendto(data, socket.MSG_DONTWAIT, self.addresses[peer])
+        except OSError as problem:  # nobody there, or no room: as if it were lost
+            self.counts.note("datagram_not_sent", problem=str(problem))
+
+    def envelope(self, sequence: int, kind: str, body: Any) -> Envelope:
+        decide = self.decide
+        return Envelope(decide.fleet, decide.name, decide.life, decide.nonce, sequence, kind, body)
+
+    # -- the host
+
+    def dial(self, peer: str, link: int) -> None:
+        def act() -> None:
+            try:
+                sock = socket.create_connection(self.addresses[peer], DIALS, (self.here[0], 0))
+            except OSError as problem:
+                self.actor.tell(self.ended, link, f"no connection: {problem.strerror or problem}")
+                return
+            sock.settimeout(None)
+            self.actor.tell(self.dialled, link, sock)
+
+        begin_thread(act, "peers-dial", self.counts)
+
+    def write(self, link: int, kind: str, body: Any, sequence: int) -> bool:
+        wire = self.wires.get(link)
+        if wire is None:
+            return False
+        try:
+            data = frames.packed(self.envelope(sequence, kind, body))
+        except FrameError:
+            self.counts.note("peer_message_too_long", kind=kind)
+            self.actor.tell(self.ended, link, "a message of ours was too long")
+            return False
+        self.bytes_out += len(data)
+        if wire.put(kind, data):
+            self.counts.note("peer_behind", kind=kind)  # its oldest news went: the other side counts a gap
+        return True
+
+    def shut(self, link: int) -> None:
+        if link in self.wires:
+            self.wires.pop(link).shut()
+
+    def deliver(self, peer: str, kind: str, body: Any) -> None:
+        self.owner.word(peer, kind, body)
+
+    def linked(self, peer: str, state: str) -> None:
+        self.owner.linked(peer, state)
+
+    def met(self, peer: str, life: int, nonce: int) -> None:
+        self.owner.met(peer, life, nonce)
+
+    def outlived(self, life: int, nonce: int) -> None:
+        self.owner.outlived(life, nonce)
+
+    def count(self, name: str, **fields: Any) -> None:
+        """By its reason, which are few: a crowd of one kind must not hide another."""
+        why = fields.get("why", "")
+        count = self.counts.add(f"{name} {why}".rstrip())
+        if count & (count - 1) == 0:
+            log.warning(name, count=count, **fields)
+
+    # -- told to the actor by the threads beside it
+
+    def dialled(self, link: int, sock: socket.socket) -> None:
+        if link not in self.decide.links:
+            sock.close()
+            return
+        self.serve(link, sock)
+        self.decide.opened(self.now(), link)
+
+    def taken(self, sock: socket.socket, address: str) -> None:
+        link = self.decide.accepted(self.now(), address)
+        if not link:
+            sock.close()
+            return
+        self.serve(link, sock)
+
+    def serve(self, link: int, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        wire = self.wires[link] = Wire(sock)
+        begin_thread(lambda: self.read(link, wire), "peers-read", self.counts)
+        begin_thread(lambda: self.write_out(link, wire), "peers-write", self.counts)
+
+    def ended(self, link: int, why: str) -> None:
+        self.decide.closed(self.now(), link, why)
+
+    def arrived(self, link: int, envelope: Envelope) -> None:
+        self.decide.heard(self.now(), link, envelope)
+
+    def thrown(self, address: str, envelope: Envelope) -> None:
+        if self.decide.datagram(self.now(), address, envelope):
+            self.owner.datagram(envelope.sender, envelope.body)
+
+    # -- threads
+
+    def accept(self) -> None:
+        while True:
+            try:
+                sock, (address, _) = self.listener.accept()
+            except OSError as problem:  # descriptors ran out: they wait in the backlog
+                self.counts.note("accept_failed", problem=str(problem))
+                time.sleep(0.1)
+                continue
+            self.actor.tell_when_room(self.taken, sock, address)
+
+    def read_datagrams(self) -> None:
+        while True:
+            try:
+                data, (address, _) = self.datagrams.recvfrom(frames.MOST_DATAGRAM + 1)
+                self.actor.tell_when_room(self.thrown, address, frames.datagram(data))
+            except FrameError as problem:
+                self.count("peer_refused", why=str(problem))
+            except OSError as problem:  # an answer of the system to one that we sent to nobody
+                self.counts.note("datagram_not_read", problem=str(problem))
+                time.sleep(0.01)
+
+    def read(self, link: int, wire: Wire) -> None:
+        stream, why = frames.Stream(), "closed by the other side"
+        try:
+            while more := wire.sock.recv(READ):
+                for envelope in stream.feed(more):
+                    self.actor.tell_when_room(self.arrived, link, envelope)
+        except FrameError as problem:
+            self.count("peer_refused", why=str(problem))
+            why = f"an unreadable message: {problem}"
+        except OSError as problem:
+            why = str(problem.strerror or problem)
+        self.actor.tell(self.ended, link, why)
+
+    def write_out(self, link: int, wire: Wire) -> None:
+        try:
+            while True:
+                with wire.ready:
+                    while wire.open and not wire.outbox.items:
+                        wire.ready.wait()
+                    data = wire.outbox.take() if wire.open else None
+                if data is None:
+                    break
+                wire.sock.sendall(data)
+        except OSError as problem:
+            self.actor.tell(self.ended, link, str(problem.strerror or problem))
+        wire.sock.close()
