--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,429 @@
+"""Several agents in virtual time: real decisions over processes, disks and links that break by a seeded
+script.
+
+The world is the plain model: it knows which process runs and whether it serves, checks each act against the
+floor, and keeps one history that `wrong` reads. The same seed gives the same history.
+"""
+
+import copy
+import heapq
+import random
+
+from vetchford.fleet import book as books
+from vetchford.fleet import spans
+from vetchford.fleet.across import Across
+from vetchford.fleet.decide import Change, Fleet, RefusedError, Terms
+
+STOP, READY, TURN = 400.0, 2000.0, 100.0  # ms
+SEEN_BY = 3000.0  # ms after which a fault must be known: what fell later than that is nobody's floor
+FAULTS = (
+    "cut",
+    "one_way",
+    "lossy",
+    "freeze",
+    "kill",
+    "old_disk",
+    "no_disk",
+    "crash",
+    "full",
+    "slow",
+    "machine",
+)
+
+
+class Machine:
+    """One agent's machine: its disk, its processes, and the agent while it runs."""
+
+    def __init__(self, world, name, instances):
+        self.world, self.name, self.instances = world, name, instances
+        self.disk, self.old_disk, self.up, self.life, self.full = {}, {}, {}, 0, False
+        self.frozen_until, self.across, self.fleet, self.lives = 0.0, None, None, 0
+        self.inbox = []  # what came while it was frozen
+
+    # -- its start and end
+
+    def begin(self):
+        self.life += 1
+        self.lives += 1
+        self.disk.setdefault("store", f"{self.name}.{self.lives}")
+        self.fleet = Fleet(self)
+        world = self.world
+        self.across = Across(
+            self,
+            self.name,
+            world.seed,
+            self.disk["store"],
+            spans.founding(world.names),
+            world.now,
+            self.lives,
+        )
+        for name in self.instances:
+            self.fleet.declare(name, Terms("pay", STOP, READY), "v1")
+        for (kind, name), body in sorted((key, body) for key, body in self.disk.items() if key != "store"):
+            if kind in ("instance", "change"):
+                self.fleet.restore(kind, name, copy.deepcopy(body))
+            else:
+                self.across.restore(kind, name, copy.deepcopy(body))
+        for name in self.instances:
+            self.fleet.found(world.now, name, self.up[name]["version"] if name in self.up else None)
+
+    def end(self):
+        self.across = self.fleet = None
+        self.inbox.clear()
+
+    def outlived(self):
+        """Others knew a later life of it: its disk has lost promises, so it takes a new identity."""
+        self.across.book.renamed(self.world.now, f"{self.name}.{self.lives}")
+        self.disk["store"] = self.across.book.store
+
+    # -- hosts of the decisions
+
+    def record(self, kind, name, body):
+        if self.full:
+            raise OSError("full")
+        if body is None:
+            self.disk.pop((kind, name), None)
+        else:
+            self.disk[kind, name] = copy.deepcopy(body)
+
+    keep = record
+
+    def post(self, to, kind, body):
+        self.world.send(self.name, to, kind, body)
+        return True
+
+    def spawn(self, name, version):
+        assert name not in self.up, "a second process of one instance"
+        chance = self.world.chance
+        ready = 1e15 if version == "bad" else self.world.now + chance.uniform(50, 400)
+        hangs = chance.random() < 0.05
+        self.up[name] = {"version": version, "ready": ready, "ends": 1e15, "hangs": hangs}
+
+    def term(self, name):
+        self.world.checks_floor(self, name)
+        process = self.up[name]
+        process["leaving"] = True
+        if not process["hangs"]:
+            process["ends"] = self.world.now + self.world.chance.uniform(10, 300)
+
+    def kill(self, name):
+        self.up[name]["ends"] = self.world.now
+
+    def note(self, event, **fields):
+        self.world.history.append({"at": self.world.now, "agent": self.name, "event": event, **fields})
+
+    def report(self, known):
+        fleet = self.fleet
+        return {
+            "instances": {
+                one.name: {"state": one.state, "unseen": one.unseen, "group": one.terms.group,
+                           "version": one.runs or one.version, "declared": "v1", "wanted": one.wanted,
+                           "change": owner.id if (owner := fleet.owner(one.name)) else ""}
+                for one in fleet.instances.values()
+            },
+            "locals": {id: [change.state, change.why, list(change.killed)]
+                       for id, change in fleet.changes.items() if id.partition("/")[0] in known},
+            "versions": ["v2", "bad"],
+        }  # fmt: skip
+
+    def begin_step(self, act):
+        change = Change(act["id"], act["kind"], [act["name"]], version=act["version"], soak=act["soak"],
+                        on_failure="go_on")  # fmt: skip
+        try:
+            if self.fleet.ask(self.world.now, change).state == "paused":
+                self.fleet.resume(self.world.now, change.id)
+        except (RefusedError, OSError) as problem:
+            return str(problem)
+        return ""
+
+    # -- time
+
+    def serves(self, name):
+        process = self.up.get(name)
+        return process is not None and process["ready"] <= self.world.now and "leaving" not in process
+
+    def turn(self):
+        now = self.world.now
+        for name, process in list(self.up.items()):
+            if process["ends"] <= now:
+                del self.up[name]
+                if self.fleet is not None and now >= self.frozen_until:
+                    self.fleet.exited(now, name, 0)
+                else:
+                    self.inbox.append(("exited", name))
+        if self.fleet is None or now < self.frozen_until:
+            return
+        waiting, self.inbox = self.inbox, []
+        for kind, *given in waiting:
+            if kind == "exited":
+                if given[0] not in self.up:
+                    self.fleet.exited(now, given[0], None)
+            else:
+                self.across.heard(now, *given)
+        for name in self.instances:
+            if name in self.up:
+                self.fleet.checked(now, name, self.serves(name))
+        self.fleet.woke(now)
+        self.across.woke(now)
+
+
+class World:
+    def __init__(self, seed, agents=5, instances=4, floor=0):
+        self.seed, self.chance, self.now = seed, random.Random(seed), 0.0
+        self.names = [f"a{n}" for n in range(agents)]
+        self.machines = {
+            name: Machine(self, name, [f"n{n}" for n in range(instances)]) for name in self.names
+        }
+        self.queue, self.count, self.history, self.floor = [], 0, [], floor
+        self.cut, self.loss, self.slow, self.sent = set(), {}, set(), 0
+        self.faults, self.fallen, self.broken, self.lost_disks = {}, {}, [], set()
+        self.at(0.0, self.turn)
+        for machine in self.machines.values():
+            machine.begin()
+
+    # -- time and links
+
+    def at(self, when, act, *given):
+        self.count += 1
+        heapq.heappush(self.queue, (when, self.count, act, given))
+
+    def run(self, until, stop=lambda: False):
+        while self.queue and self.queue[0][0] <= until and not stop():
+            self.now, _, act, given = heapq.heappop(self.queue)
+            act(*given)
+        return stop()
+
+    def turn(self):
+        for machine in self.machines.values():
+            machine.turn()
+        self.at(self.now + TURN, self.turn)
+
+    def send(self, sender, to, kind, body):
+        self.sent += 1
+        if (sender, to) in self.cut or self.chance.random() < self.loss.get((sender, to), 0.0):
+            return
+        for _ in range(2 if self.chance.random() < 0.02 else 1):
+            late = self.chance.uniform(200.0, 2500.0) if (sender, to) in self.slow else 0.0
+            self.at(self.now + self.chance.uniform(1.0, 15.0) + late, self.arrive, sender, to, kind,
+                    copy.deepcopy(body))  # fmt: skip
+
+    def arrive(self, sender, to, kind, body):
+        machine = self.machines.get(to)
+        if machine is None or machine.across is None:
+            return
+        if self.now < machine.frozen_until:
+            machine.inbox.append(("heard", sender, kind, body))
+        else:
+            machine.across.heard(self.now, sender, kind, body)
+
+    # -- what must hold
+
+    def serving(self):
+        return sum(machine.serves(name) for machine in self.machines.values() for name in machine.instances)
+
+    def checks_floor(self, machine, name):
+        """Before a change takes one out: those that serve, and those that fell too late to be known."""
+        owner = machine.fleet.owner(name)
+        if owner is None or not machine.serves(name):
+            return
+        late = sum(self.now - at <= SEEN_BY for at in self.fallen.values())
+        left = self.serving() - 1 + late
+        self.history.append(
+            {"at": self.now, "agent": machine.name, "event": "taken_out", "name": name, "left": left}
+        )
+        if left < self.floor:
+            self.broken.append(f"{self.now:.0f} {name}@{machine.name}: {left} left, floor {self.floor}")
+
+    def wrong(self):
+        """What the history shows: read by nothing of the implementation."""
+        found, newest, drivers = list(self.broken), {}, {}
+        in_force = [(0, 0)]
+        for entry in self.history:
+            if entry["event"] == "drives":
+                if drivers.setdefault(entry["term"], entry["agent"]) != entry["agent"]:
+                    found.append(f"two drive under term {entry['term']}")
+                before = max(one for one in in_force if one[0] < entry["term"])
+                if tuple(entry["took_over"]) < before:
+                    found.append(f"{entry['agent']} took over {entry['took_over']}, {before} was in force")
+            elif entry["event"] == "record_in_force":
+                if (entry["term"], entry["revision"]) < max(in_force):
+                    found.append(f"{entry['agent']} wrote under term {entry['term']} after {max(in_force)}")
+                in_force.append((entry["term"], entry["revision"]))
+            elif entry["event"] == "order_done":
+                if entry["term"] < newest.get(entry["agent"], 0):
+                    found.append(
+                        f"{entry['agent']} obeyed term {entry['term']} after {newest[entry['agent']]}"
+                    )
+                newest[entry["agent"]] = entry["term"]
+                if drivers.get(entry["term"]) != entry["driver"]:
+                    found.append(f"an order of {entry['driver']} under another's term")
+        return found
+
+    # -- faults
+
+    def fault(self, kind, name):
+        """One fault, and when it heals."""
+        chance, machine, heals = (
+            self.chance,
+            self.machines[name],
+            self.now + self.chance.uniform(500.0, 12_000.0),
+        )
+        self.faults[kind] = self.faults.get(kind, 0) + 1
+        others = [other for other in self.names if other != name]
+        if kind == "cut":
+            side = {name, *chance.sample(others, chance.randint(0, len(others) - 1))}
+            pairs = {(a, b) for a in self.names for b in self.names if (a in side) != (b in side)}
+            self.cut |= pairs
+            self.at(heals, self.cut.difference_update, pairs)
+        elif kind == "one_way":
+            pairs = (
+                {(name, other) for other in others} if chance.random() < 0.5 else {(o, name) for o in others}
+            )
+            self.cut |= pairs
+            self.at(heals, self.cut.difference_update, pairs)
+        elif kind in ("lossy", "slow"):
+            pairs = [(a, b) for a in self.names for b in self.names if a != b and chance.random() < 0.5]
+            if kind == "slow":
+                self.slow.update(pairs)
+                self.at(heals, self.slow.difference_update, pairs)
+            else:
+                self.loss.update(dict.fromkeys(pairs, 0.3))
+                self.at(heals, self.loss.clear)
+        elif kind == "freeze":
+            machine.frozen_until = max(
+                machine.frozen_until, self.now + chance.choice((800.0, 4000.0, 30_000.0))
+            )
+        elif kind == "full":
+            machine.full = True
+            self.at(heals, setattr, machine, "full", False)
+        elif kind == "crash":
+            up = [one for one in machine.instances if machine.serves(one)]
+            if up:
+                machine.up[up[0]]["ends"] = self.now
+                self.fallen[name, up[0], self.now] = self.now
+        elif machine.across is not None and self.now >= machine.frozen_until:
+            if kind == "machine":  # with all that runs on it
+                for one in machine.instances:
+                    if machine.serves(one):
+                        self.fallen[name, one, self.now] = self.now
+                machine.up.clear()
+            if kind in ("old_disk", "no_disk"):
+                self.lost_disks.add(name)
+                if 2 * len(self.lost_disks) >= len(self.names):  # `most lost` is a test of its own
+                    kind = "kill"
+            if kind == "old_disk" and not machine.old_disk:
+                machine.old_disk = copy.deepcopy(machine.disk)
+            machine.end()
+            self.at(heals, self.restart, machine, kind)
+
+    def restart(self, machine, kind):
+        if machine.across is not None:
+            return
+        if kind == "old_disk":
+            machine.disk = {
+                key: body for key, body in machine.old_disk.items() if key[0] in ("book", "orders")
+            } | {
+                key: body
+                for key, body in machine.disk.items()
+                if key == "store" or key[0] not in ("book", "orders")
+            }
+        elif kind == "no_disk":  # of the fleet's part: that of the instances is `test_fleet_model`'s
+            machine.disk = {
+                key: body for key, body in machine.disk.items() if key[0] in ("instance", "change")
+            }
+        machine.begin()
+        if kind in ("old_disk", "no_disk"):  # whoever knew its earlier lives tells it
+            machine.outlived()
+
+    def heal(self):
+        self.cut.clear()
+        self.loss.clear()
+        self.slow.clear()
+        for machine in self.machines.values():
+            machine.frozen_until, machine.full = 0.0, False
+            if machine.across is None:
+                machine.begin()
+
+    # -- what tools ask
+
+    def request(self, agent, ask, **fields):
+        """The answer goes to the returned list."""
+        out, machine = [], self.machines[agent]
+        if machine.across is None or self.now < machine.frozen_until:
+            return out
+        try:
+            machine.across.request(self.now, {"ask": ask, **fields}, out.append)
+        except RefusedError as problem:
+            out.append({"refused": str(problem)})
+        return out
+
+    def change(self, name, id, kind, targets=None, **terms):
+        targets = targets or [f"{one}@{m.name}" for m in self.machines.values() for one in m.instances]
+        change = {
+            "id": id,
+            "kind": kind,
+            "targets": targets,
+            "version": "",
+            "batch": 1,
+            "floor": 0,
+            "spacing": 0.0,
+            "soak": 200.0,
+            "on_failure": "pause",
+            **terms,
+        }
+        return self.request(name, "span", change=change)
+
+    def span(self, id):
+        """The newest copy of it."""
+        found = [(m.across.book.at, m.across.book.body["spans"][id]) for m in self.machines.values()
+                 if m.across is not None and id in m.across.book.body["spans"]]  # fmt: skip
+        return max(found, key=lambda one: one[0])[1] if found else None
+
+    def ended(self, id):
+        span = self.span(id)
+        return span is not None and span["state"] in spans.ENDED
+
+    def up(self, seconds=60.0):
+        """All instances of a new world serving."""
+        self.until_driven()
+        self.change(self.names[0], "up", "start", batch=100)
+        assert self.run(self.now + seconds * 1000.0, lambda: self.ended("up")), self.span("up")
+        self.run(self.now + 2000.0)  # in force, and seen by the next reports
+        assert self.serving() == sum(len(machine.instances) for machine in self.machines.values())
+
+    def until_driven(self):
+        assert self.run(
+            self.now + 30_000.0,
+            lambda: any(
+                m.across is not None and m.across.book.role == books.DRIVES for m in self.machines.values()
+            ),
+        )
+
+
+def play(seed, count=8, floor=14, faults=FAULTS, agents=5):
+    """A roll among faults, pauses and repeats of the same command; then everything heals."""
+    world = World(seed, agents=agents, floor=floor)
+    world.up()
+    chance = random.Random(seed + 77)
+    ways = {"batch": chance.choice((1, 3, 6)), "on_failure": chance.choice(("pause", "go_on", "back"))}
+    world.change(chance.choice(world.names), "r1", "roll", version="v2", floor=floor, **ways)
+    for _ in range(count):
+        world.run(world.now + chance.uniform(100, 4000))
+        world.fault(chance.choice(faults), chance.choice(world.names))
+        draw = chance.random()
+        if draw < 0.15:
+            world.request(chance.choice(world.names), chance.choice(("pause", "resume")), id="r1")
+        elif draw < 0.3:
+            world.change(chance.choice(world.names), "r1", "roll", version="v2", floor=floor, **ways)
+    world.run(world.now + 3000.0)
+    world.heal()
+    for turn in range(30):
+        if world.run(world.now + 10_000.0, lambda: world.ended("r1")):
+            break
+        if world.span("r1") is None:
+            world.change(chance.choice(world.names), "r1", "roll", version="v2", floor=floor, **ways)
+        elif world.span("r1")["state"] == "paused" or turn > 3:
+            for name in world.names:
+                world.request(name, "resume", id="r1")
+    world.run(world.now + 3000.0)
+    return world
--- /dev/null
+++ b/standins/planted.py
@@ -0,0 +1,88 @@
+"""Mistakes that are planted into the decisions, to see that the rig finds each of them."""
+
+import contextlib
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from standins import cluster
+from vetchford.fleet import across, book, spans
+
+
+@contextlib.contextmanager
+def put(*places: tuple[Any, str, Any]) -> Iterator[None]:
+    """Each (owner, name, value) while it lasts."""
+    before = [(owner, name, getattr(owner, name)) for owner, name, _ in places]
+    for owner, name, value in places:
+        setattr(owner, name, value)
+    try:
+        yield
+    finally:
+        for owner, name, value in before:
+            setattr(owner, name, value)
+
+
+def no_fencing() -> contextlib.AbstractContextManager[None]:
+    """Whoever speaks is taken for the driver, whatever was promised."""
+
+    def unfenced(act: Callable, less: int) -> Callable:
+        def on_word(self, now, sender, word, *given):
+            self.promised = min(self.promised, word["term"] - less)
+            act(self, now, sender, word, *given)
+
+        return on_word
+
+    return put(
+        (book.Book, "take", unfenced(book.Book.take, 0)),
+        (book.Book, "on_promise", unfenced(book.Book.on_promise, 1)),
+        (across.Across, "current", lambda self, sender, term: True),
+    )
+
+
+def floor_by_the_old_view() -> contextlib.AbstractContextManager[None]:
+    """What was seen once is taken for seen."""
+    return put((spans, "FRESH", 1e12))
+
+
+def floor_without_what_is_out() -> contextlib.AbstractContextManager[None]:
+    """What was ordered out and still serves is counted."""
+
+    def proven(self, now, body, span):
+        return sum(one["state"] == "serving" for one in self.all_seen(now).values())
+
+    return put((spans.Driver, "proven", proven))
+
+
+def incarnation_forgotten() -> contextlib.AbstractContextManager[None]:
+    """A store that lost its promises goes on under its old identity."""
+    begin = cluster.Machine.begin
+
+    def begin_as_before(self):
+        self.disk["store"] = f"{self.name}.1"
+        begin(self)
+
+    return put((cluster.Machine, "outlived", lambda self: None), (cluster.Machine, "begin", begin_as_before))
+
+
+# How each is planted, and the schedules in which it must show.
+MISTAKES: dict[str, tuple[Callable, dict[str, Any], range]] = {
+    "no fencing": (no_fencing, {"faults": ("freeze", "slow", "cut", "one_way", "lossy")}, range(12)),
+    "floor by the old view": (floor_by_the_old_view, {"faults": ("machine", "cut"), "floor": 16}, range(12)),
+    "floor without what is out": (floor_without_what_is_out, {"floor": 17}, range(12)),
+    "incarnation forgotten": (
+        incarnation_forgotten, {"faults": ("old_disk", "no_disk", "cut", "cut")}, range(30),
+    ),
+}  # fmt: skip
+
+
+def caught(mistake: str, planted: bool = True, seeds: range | None = None) -> int:
+    """The number of schedules until it was found: a rule or an assertion of the world broken; 0: never."""
+    plant, given, usual = MISTAKES[mistake]
+    for count, seed in enumerate(seeds or usual, 1):
+        with plant() if planted else contextlib.nullcontext():
+            try:
+                world = cluster.play(seed, **given)
+            except AssertionError:
+                return count
+        if world.wrong():
+            return count
+    return 0
--- a/tests/declared/test_command.py
+++ b/tests/declared/test_command.py
@@ -104,3 +104,24 @@
     with pytest.raises(MalformedError) as caught:
         configuration.check(told)
     assert len(str(caught.value).splitlines()) == 3
+
+
+def test_files_that_are_named_together_are_each_read_once(tmp_path):
+    # The options' library hands a repeated option over several times: five files met the bound of eight.
+    files = []
+    for n in range(5):
+        files.append(tmp_path / f"{n}.vet")
+        files[-1].write_text("version: 1\n")
+    ran = command("check", *(word for file in files for word in ("--with", str(file))))
+    assert ran.returncode == 0 and ran.stdout == f"{', '.join(map(str, files))}: good\n"
+
+
+def test_an_agent_that_its_fleet_does_not_name_is_told_with_its_place(tmp_path):
+    file = tmp_path / "fleet.vet"
+    file.write_text(
+        'version: 1\nagent: {\n  socket: "s"\n  store: "t"\n  logs: "l"\n  instances: n1: {command: ["x"], '
+        'listen: "127.0.0.1:1"}\n  peers: {fleet: "pay", name: "south", listen: "127.0.0.1:2"\n'
+        '    agents: {east: "127.0.0.1:2"}}\n}\n'
+    )
+    ran = command("check", "--with", str(file))
+    assert ran.returncode == 2 and "agent.peers.name" in ran.stderr and "allowed: east" in ran.stderr
--- /dev/null
+++ b/tests/fleet/test_across.py
@@ -0,0 +1,260 @@
+"""Changes over several agents in virtual time: real decisions, faults by seed, and mistakes planted to be
+found.
+"""
+
+import random
+
+import pytest
+
+from standins.cluster import World, play
+from standins.planted import MISTAKES, caught
+from vetchford.fleet import book, orders
+
+FLOOR = 14
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_rolls_among_faults_end_and_break_nothing(seed):
+    world = play(seed)
+    assert not world.wrong()
+    assert world.ended("r1"), (world.span("r1"), [m.across.said for m in world.machines.values()])
+    span = world.span("r1")
+    for machine in world.machines.values():
+        for name, process in machine.up.items():
+            key = f"{name}@{machine.name}"
+            if span["steps"][key] == "done" and not span["back"] and "leaving" not in process:
+                assert process["version"] == "v2", key
+        assert not machine.across.orders.by_change and not machine.across.jobs  # emptied as the change ended
+
+
+def test_one_seed_is_one_history():
+    assert play(3, count=4).history == play(3, count=4).history
+
+
+@pytest.mark.parametrize("mistake", sorted(MISTAKES))
+def test_a_planted_mistake_is_found_and_the_same_schedules_are_clean_without_it(mistake):
+    assert caught(mistake)
+    assert not caught(mistake, planted=False, seeds=range(3))
+
+
+# -- single cases
+
+
+def quiet(seed=1, **given):
+    world = World(seed, floor=given.pop("floor", FLOOR), **given)
+    world.up()
+    return world
+
+
+def drives(world, among=None):
+    return [name for name in among or world.names if world.machines[name].across.book.role == book.DRIVES]
+
+
+def split(world, side):
+    pairs = {(a, b) for a in world.names for b in world.names if (a in side) != (b in side)}
+    world.cut |= pairs
+    return pairs
+
+
+def test_the_side_that_cannot_prove_the_floor_stops_says_so_and_goes_on_after_healing():
+    world = quiet()
+    driver = drives(world)[0]
+    side = {driver, *[name for name in world.names if name != driver][:2]}
+    world.change(driver, "r1", "roll", version="v2", batch=2, floor=FLOOR)
+    world.run(world.now + 1500.0)
+    split(world, side)
+    away = sorted(set(world.names) - side)
+    world.run(world.now + 20_000.0)
+    span = world.span("r1")
+    assert span["state"] == "running" and {
+        span["steps"][f"n{n}@{name}"] for n in range(4) for name in away
+    } != {"done"}
+    said = world.machines[drives(world, side)[0]].across.said["r1"]
+    assert "proven to serve, the floor of r1 is 14" in said and away[0] in said
+    out = []
+    world.machines[away[0]].across.request(
+        world.now, {"ask": "span", "change": {"id": "r2", "kind": "restart", "targets": []}}, out.append
+    )
+    assert (
+        world.run(world.now + 20_000.0, lambda: bool(out))
+        and "nobody drives that can be seen" in out[0]["refused"]
+    )
+    world.heal()
+    assert world.run(world.now + 60_000.0, lambda: world.ended("r1"))
+    assert world.span("r1")["state"] == "finished" and not world.wrong()
+
+
+def test_two_halves_that_want_to_roll_and_one_id_asked_for_on_both_sides():
+    world = quiet()
+    side = set(world.names[:3])
+    split(world, side)
+    world.run(world.now + 12_000.0)
+    one = world.change(world.names[0], "r1", "roll", version="v2", batch=2, floor=4)
+    other = world.change(world.names[4], "r1", "roll", version="v2", batch=2, floor=4)
+    world.run(world.now + 9_000.0)
+    assert "refused" in other[0] and not drives(world, world.names[3:])
+    assert one and "not seen: a3, a4" in one[0]["refused"]  # its targets are on both sides
+    half = [f"n{n}@{name}" for name in sorted(side) for n in range(4)]
+    one = world.change(world.names[0], "r1", "roll", half, version="v2", batch=2, floor=4)
+    world.run(world.now + 8_000.0)
+    world.heal()
+    world.run(world.now + 12_000.0)
+    again = world.change(world.names[4], "r1", "roll", version="v2", batch=2, floor=4)
+    world.run(world.now + 8_000.0)
+    assert "is another change's" in again[0]["refused"]
+    assert world.run(world.now + 60_000.0, lambda: world.ended("r1")) and not world.wrong()
+
+
+@pytest.mark.parametrize("moment", [300.0, 700.0, 1100.0, 2500.0])
+def test_the_driver_killed_or_frozen_in_the_middle_is_replaced_and_what_is_out_counts_as_out(moment):
+    for fault in ("kill", "freeze"):
+        world = quiet(seed=int(moment))
+        driver = drives(world)[0]
+        world.change(driver, "r1", "roll", version="v2", batch=4, floor=16)
+        world.floor = 16
+        world.run(world.now + moment)
+        if fault == "kill":
+            world.machines[driver].end()
+        else:
+            world.machines[driver].frozen_until = world.now + 30_000.0
+        others = [name for name in world.names if name != driver]
+        assert world.run(world.now + 15_000.0, lambda w=world, o=others: bool(drives(w, o)))
+        world.run(world.now + 35_000.0)
+        world.heal()
+        assert world.run(world.now + 90_000.0, lambda world=world: world.ended("r1"))
+        assert world.span("r1")["state"] == "finished" and not world.wrong()
+        assert len({entry["term"] for entry in world.history if entry["event"] == "drives"}) >= 2
+
+
+def test_one_that_hears_nobody_deposes_nobody():
+    world = quiet()
+    driver = drives(world)[0]
+    deaf = next(name for name in world.names if name != driver)
+    world.cut |= {(other, deaf) for other in world.names}
+    before = world.machines[driver].across.book.promised
+    world.run(world.now + 60_000.0)
+    world.heal()
+    world.run(world.now + 10_000.0)
+    assert drives(world) == [driver] and world.machines[driver].across.book.promised == before
+
+
+def test_a_pause_holds_at_once_on_its_side_and_wins_over_a_resume_that_did_not_know_of_it():
+    world = quiet()
+    driver = drives(world)[0]
+    away = next(name for name in world.names if name != driver)
+    world.change(driver, "r1", "roll", version="v2", batch=1, floor=10)
+    world.run(world.now + 1200.0)
+    assert world.request(driver, "pause", id="r1")[0]["state"] == "paused"
+    world.run(world.now + 1500.0)
+    split(world, {away})
+    assert world.request(away, "pause", id="r1")[0]["obeyed_by"] == away  # a second, known to it alone
+    world.run(world.now + 1000.0)
+    assert world.request(driver, "resume", id="r1")[0]["state"] == "running"
+    world.run(world.now + 3000.0)
+    world.heal()
+    world.run(world.now + 8000.0)
+    assert world.span("r1")["state"] == "paused"
+    done = sum(step == "done" for step in world.span("r1")["steps"].values())
+    world.run(world.now + 10_000.0)
+    assert sum(step == "done" for step in world.span("r1")["steps"].values()) == done < 20
+    assert world.request(away, "resume", id="r1")[0]["state"] == "running"
+    assert (
+        world.run(world.now + 90_000.0, lambda: world.ended("r1")) and world.span("r1")["state"] == "finished"
+    )
+    world.run(world.now + 2000.0)
+    assert "change r1 is finished" in world.request(away, "pause", id="r1")[0]["refused"]
+
+
+def test_an_abort_from_a_side_that_is_cut_off_stands():
+    world = quiet()
+    driver = drives(world)[0]
+    away = next(name for name in world.names if name != driver)
+    world.change(driver, "r1", "roll", version="v2", batch=1, floor=10)
+    world.run(world.now + 1200.0)
+    split(world, {away})
+    world.request(away, "abort", id="r1")
+    world.run(world.now + 3000.0)
+    world.heal()
+    assert world.run(world.now + 30_000.0, lambda: world.ended("r1"))
+    assert world.span("r1")["state"] == "aborted" and "left" in world.span("r1")["steps"].values()
+
+
+def test_orders_come_out_the_same_in_any_order_and_any_number_of_times():
+    chance = random.Random(5)
+    sides = [orders.Orders(name) for name in "abc"]
+    for n in range(200):
+        one, other = chance.sample(sides, 2)
+        draw = chance.random()
+        if draw < 0.1:
+            one.halt("c", "pause", "asked to", str(n))
+        elif draw < 0.2:
+            one.lift("c")
+        else:
+            other.merge(dict(one.by_change), {"c"})
+    for _ in range(3):
+        for one in sides:
+            for other in sides:
+                other.merge(dict(one.by_change), {"c"})
+    assert sides[0].by_change == sides[1].by_change == sides[2].by_change
+    lost = {id for id, _ in sides[0].of("c")["halts"].items()} - set(sides[0].of("c")["lifted"])
+    assert (sides[0].stands("c")[0] == "pause") == bool(lost)
+    assert sides[0].dropped(set()) == ["c"] and not sides[0].by_change
+
+
+def test_a_machine_leaves_and_another_joins_by_changes_of_their_own():
+    world = quiet()
+    driver = drives(world)[0]
+    gone = next(name for name in world.names if name != driver)
+    world.machines[gone].end()
+    world.run(world.now + 20_000.0)
+    assert gone in world.machines[driver].across.book.body["members"]  # silence changes no list
+    out = world.request(driver, "dismiss", name=gone, by="ops")
+    world.run(world.now + 5000.0)
+    body = world.machines[driver].across.book.body
+    assert (
+        gone not in out[0]["members"]
+        and gone not in body["voters"]
+        and ["dismiss", gone, "ops"] in body["log"]
+    )
+    world.machines[gone].begin()
+    world.run(world.now + 15_000.0)
+    back = world.machines[gone].across
+    assert (
+        back.book.role == book.FOLLOWS and gone not in back.book.body["members"]
+    )  # it was told, and asks nobody
+    world.request(driver, "admit", name=gone, by="ops")
+    world.run(world.now + 8000.0)
+    assert (
+        gone in world.machines[driver].across.book.body["voters"]
+        and world.machines[gone].across.book.driver == driver
+    )
+
+
+def test_a_majority_that_lost_its_stores_never_drives_by_itself():
+    world = quiet()
+    for name in world.names[:3]:
+        world.machines[name].end()
+        world.restart(world.machines[name], "no_disk")
+    world.run(world.now + 60_000.0)
+    assert not drives(world)
+
+
+def test_a_failed_version_pauses_the_fleet_and_goes_back_from_whoever_drives():
+    world = quiet()
+    driver = drives(world)[0]
+    world.change(driver, "r1", "roll", version="bad", batch=2, floor=16, on_failure="pause")
+    world.floor = 16
+    assert world.run(world.now + 30_000.0, lambda: (world.span("r1") or {}).get("state") == "paused")
+    world.machines[driver].end()  # the pause stands in the record: who drives next does not go on
+    world.run(world.now + 20_000.0)
+    assert drives(world, [n for n in world.names if n != driver]) and world.span("r1")["state"] == "paused"
+    world.machines[driver].begin()
+    world.request(world.names[0], "abort", id="r1")
+    assert world.run(world.now + 30_000.0, lambda: world.ended("r1"))
+    other = quiet(seed=9)
+    other.change(drives(other)[0], "r2", "roll", version="bad", batch=2, floor=14, on_failure="back")
+    assert (
+        other.run(other.now + 60_000.0, lambda: other.ended("r2")) and "gone back" in other.span("r2")["why"]
+    )
+    other.run(other.now + 5000.0)
+    assert other.serving() == 20 and not other.wrong()
--- /dev/null
+++ b/tests/fleet/test_agents.py
@@ -0,0 +1,183 @@
+"""Agents in processes of their own, with links that break: who drives, what goes on, what is told."""
+
+import json
+import random
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from standins.rig import ROOT, Rig, Script, wrong
+
+
+@pytest.fixture
+def rig(tmp_path):
+    with Rig(tmp_path, agents=3, instances=2) as made:
+        made.begin()
+        made.driven()
+        made.up()
+        yield made
+
+
+def tool(rig, *given, sockets=None, waits=60):
+    named = [word for name in sockets or rig.names for word in ("--socket", rig.path(name))]
+    command = [sys.executable, "-m", "vetchford", "fleet", *named, *given]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=waits)
+
+
+def rolled(rig, id="r1", version="v2", floor=3):
+    """It ended well, the record is what runs, and the history shows nothing wrong."""
+    ended = rig.ended(id, 60.0)
+    assert ended["state"] == "finished", ended
+    table = rig.table()
+    assert sorted(table) == sorted(rig.addresses) and all(len(pids) == 1 for pids in table.values())
+    rig.until(lambda: len(status(rig)) == len(rig.addresses), 10.0, "all seen")
+    assert {one["version"] for one in status(rig).values()} == {version}
+    assert not wrong(rig.events(), floor)
+    return ended
+
+
+def status(rig):
+    answer = rig.ask(rig.driven(), {"ask": "all"})
+    return {} if answer["unknown"] else answer["instances"]
+
+
+def test_a_driver_that_is_killed_in_its_roll_is_replaced_and_the_tool_follows_by_another(rig):
+    driver = rig.driver()
+    other = next(name for name in rig.names if name != driver)
+    began = rig.change(other, "r1", "roll", version="v2", batch=1, floor=3, soak=400.0)
+    assert began["state"] == "running"
+    waiting = subprocess.Popen(
+        [sys.executable, "-m", "vetchford", "fleet", "--across", "--json", "--socket", rig.path(driver),
+         "--socket", rig.path(other), "wait", "r1"], cwd=ROOT, stdout=subprocess.PIPE, text=True)  # fmt: skip
+    rig.until(lambda: "done" in rig.find("r1")["steps"].values(), 20.0, "the first step")
+    rig.kill(driver)
+    rig.driven([name for name in rig.names if name != driver])
+    rig.begin(driver)
+    rolled(rig)
+    out, _ = waiting.communicate(timeout=30)
+    assert waiting.returncode == 0 and json.loads(out)["state"] == "finished"
+    assert len({entry["term"] for entry in rig.events() if entry["event"] == "drives"}) == 2
+
+
+def test_a_driver_cut_off_stops_says_so_and_all_goes_on_after_healing(rig):
+    driver = rig.driver()
+    others = [name for name in rig.names if name != driver]
+    rig.change(driver, "r1", "roll", version="v2", batch=1, floor=4, soak=300.0)
+    rig.links.fault("cut", rig.links.between({driver}))
+    new = rig.driven(others)
+    rig.until(lambda: rig.peers(driver)["book"]["role"] != "drives", 10.0, "it still drives")
+    refused = tool(rig, "--across", "restart", f"n0@{driver}", sockets=[driver])
+    assert refused.returncode == 2 and "nobody drives that can be seen" in refused.stderr
+    # By what was out when the link went: the batch is full, or the floor is not proven.
+    rig.until(lambda: driver in rig.find("r1", [new])["waits"], 20.0, "it does not say why it waits")
+    seen = {row["name"]: row["view"] for row in rig.peers(new)["peers"]}
+    assert seen[driver] in ("may be there", "not seen")
+    paused = rig.ask(driver, {"ask": "pause", "id": "r1"})  # from the side that is cut off
+    assert paused["state"] == "paused" and paused["driver"] == ""
+    rig.links.heal()
+    rig.until(lambda: rig.find("r1", [new])["state"] == "paused", 20.0, "the pause did not arrive")
+    assert rig.ask(new, {"ask": "resume", "id": "r1"})["state"] == "running"
+    rolled(rig, floor=4)
+    assert rig.links.met()["cut"] > 0
+
+
+def test_an_agent_frozen_in_the_middle_of_its_batch_wakes_and_goes_on(rig):
+    driver = rig.driver()
+    frozen = next(name for name in rig.names if name != driver)
+    rig.change(driver, "r1", "roll", version="v2", batch=2, floor=3, soak=300.0)
+    rig.until(lambda: any(step == "out" and frozen in key for key, step in rig.find("r1")["steps"].items()),
+              20.0, "a step of its own")  # fmt: skip
+    rig.freeze(frozen)
+    rig.until(lambda: frozen in rig.find("r1", [driver])["waits"], 20.0, "its silence is not told")
+    began = time.monotonic()
+    shown = tool(rig, "status")  # it holds up nobody
+    assert (
+        time.monotonic() - began < 8.0 and shown.returncode == 4 and "what it does is unknown" in shown.stderr
+    )
+    assert shown.stdout.count("NAME") == 2  # each table once
+    rig.thaw(frozen)
+    rolled(rig)
+    assert any(entry["event"] == "was_stopped" for entry in rig.events())
+
+
+def test_an_agent_with_an_old_copy_of_its_store_begins_a_new_life_and_is_counted_again(rig):
+    old = next(name for name in rig.names if name != rig.driver())
+    rig.kill(old)
+    rig.copy_store(old)
+    for _ in range(2):
+        rig.begin(old)
+        rig.kill(old)
+    rig.old_store(old)
+    rig.begin(old)
+    rig.until(lambda: rig.peers(old)["life"] > 3, 20.0, "its life was not raised")
+    rig.until(lambda: rig.peers(old)["book"]["counted"], 20.0, "it is not listed anew")
+    assert any(entry["event"] == "life_raised" and entry["agent"] == old for entry in rig.events())
+    begun = rig.change(old, "r1", "roll", version="v2", batch=2, floor=3)
+    assert "refused" not in begun, begun
+    rolled(rig)
+
+
+def test_a_torn_stalled_and_slow_link_delays_and_breaks_nothing(rig):
+    driver = rig.driver()
+    rig.change(driver, "r1", "roll", version="v2", batch=2, floor=3)
+    other = next(name for name in rig.names if name != driver)
+    chance = random.Random(7)
+    for kind in ("torn", "stall", "slow", "one_way", "double", "lose"):
+        rig.links.fault(kind, rig.links.of(other))
+        time.sleep(chance.uniform(0.3, 1.0))
+        rig.links.heal()
+    rolled(rig)
+    assert sum(rig.links.met().values()) > 3
+
+
+def test_a_schedule_of_faults_is_one_script_by_its_seed_and_breaks_nothing(rig):
+    one, same = (Script(rig.names, 5, 8.0, 7) for _ in range(2))
+    assert one.steps == same.steps
+    rig.change(rig.driver(), "r1", "roll", version="v2", batch=1, floor=3, on_failure="go_on")
+    one.play(rig)
+    rolled(rig)
+
+
+def test_what_is_no_peer_is_refused_in_a_counted_line_and_holds_up_nobody(rig):
+    name = rig.driver()
+    listen = rig.links.links[next(other for other in rig.names if other != name), name].to
+    for data in (b"GET / HTTP/1.1\r\n\r\n", b"vf\x09" + b"\0" * 40, b"vf\x01\0\xff\xff\xff\xff" + b"\0" * 8):
+        with socket.create_connection(listen) as sock:
+            sock.sendall(data)
+            sock.settimeout(10.0)
+            assert sock.recv(100) == b""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.sendto(data, listen)
+    held = [socket.create_connection(listen) for _ in range(20)]  # say nothing
+    rig.change(name, "r1", "restart", batch=2, floor=3)
+    rolled(rig, version="1")
+    rig.until(lambda: {entry.get("why") for entry in rig.events() if entry["event"] == "peer_refused"}
+              >= {"no_frame", "other_version", "too_long", "crowd"}, 10.0, "not all were told")  # fmt: skip
+    for sock in held:
+        sock.close()
+
+
+def test_the_tool_over_a_fleet_says_what_it_did_and_refuses_in_one_line(rig):
+    shown = tool(
+        rig, "--across", "roll", "--to", "v2", "--floor", "3", "--batch", "2", "--soak", "200", "group=pay"
+    )
+    assert shown.returncode == 0 and "finished: all done" in shown.stdout and "n1@a2 done" in shown.stdout
+    plan = tool(rig, "--across", "restart", "--dry-run", "agent=a1")
+    assert plan.stdout == "would restart, 1 at once: n0@a1, n1@a1\n"
+    for given, code, text in (
+        (["--across", "roll", "--to", "v9", "all"], 2, "has no command for version 'v9'"),
+        (["--across", "stop", "--floor", "6", "n0@a0"], 2, "5 would be left serving, under the floor of 6"),
+        (["--across", "restart", "nobody"], 2, "it must name 1 to 1000 instances"),
+        (["--across", "pause", "none"], 2, "no change none is known here"),
+        (["admit", "a1"], 0, "a0, a1, a2"),
+        (["--across", "explain", "none"], 2, "no change none is known here"),
+    ):
+        ran = tool(rig, *given)
+        assert ran.returncode == code and text in ran.stdout + ran.stderr, (given, ran)
+    watched = tool(rig, "--patience", "1", "watch", "n0")
+    assert watched.returncode == 0 and watched.stdout.count("serving") == 3
+    peers = json.loads(tool(rig, "--json", "peers", sockets=["a0"]).stdout)
+    assert {row["view"] for row in peers["peers"]} == {"there"} and peers["book"]["counted"]
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -179,7 +179,7 @@
 
 def test_every_event_stands_on_the_on_call_page_and_the_other_way_round():
     code = "".join(path.read_text() for path in sorted((ROOT / "vetchford").rglob("*.py")))
-    said = set(re.findall(r"(?:log\.\w+|\.note)\(\s*\"(\w+)\"", code))
+    said = set(re.findall(r"(?:log\.\w+|\.note|host\.count|talk\.count|self\.count)\(\s*\"(\w+)\"", code))
     table = (ROOT / "docs" / "on-call.md").read_text().split("## Log events")[1].split("\n## ")[0]
     assert said == set(re.findall(r"^\| `(\w+)`", table, re.M)) and len(said) > 15
 
--- a/vetchford/cli.py
+++ b/vetchford/cli.py
@@ -58,6 +58,7 @@
         asked = docopt(__doc__, given, version=vetchford.__version__)
     except DocoptExit:
         return complain("wrong usage; `vetchford --help` tells how")
+    asked["--with"] = list(dict.fromkeys(asked["--with"]))  # the options' library repeats a repeated option
     for option, known in (("--log-level", tuple(logs.LEVELS)), ("--log-form", logs.FORMS)):
         if asked[option] not in known:
             return complain(f"{option} must be one of {', '.join(known)}")
--- a/vetchford/declared/reading.py
+++ b/vetchford/declared/reading.py
@@ -95,7 +95,12 @@
 
 
 def agree(declared: records.Declared, top: Vertex, stages: list[str] | None, file: str) -> None:
-    """What no single value shows: stages that are in two pools or unknown."""
+    """What no single value shows: an agent that is not of its fleet, stages in two pools or unknown."""
+    peers = declared.agent.peers if declared.agent else None
+    if peers is not None and peers.name not in peers.agents:
+        path = "agent.peers.name"
+        text = f"found '{peers.name}', which agents does not name; allowed: {', '.join(sorted(peers.agents))}"
+        raise DeclaredError([Problem(placed(top, path, file), path, text)])
     if isinstance(declared.pools, str):
         return
     problems, owner = [], {}
--- a/vetchford/declared/records.py
+++ b/vetchford/declared/records.py
@@ -34,6 +34,21 @@
     ready_ms: float
     restart: bool
     environment: dict[str, str]
+    log_mb: Annotated[int, Meta(ge=1, le=4096)]
+    descriptors: Annotated[int, Meta(ge=16, le=1 << 20)] | None = None
+    memory_mb: Annotated[int, Meta(ge=1, le=1 << 20)] | None = None
+
+
+Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+
+
+class Peers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """As #Peers of the schema."""
+
+    fleet: Annotated[str, Meta(min_length=1, max_length=64)]
+    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    listen: Address
+    agents: Annotated[dict[str, Address], Meta(min_length=1, max_length=64)]
 
 
 class Agent(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -44,6 +59,7 @@
     logs: Annotated[str, Meta(min_length=1)]
     instances: Annotated[dict[str, Instance], Meta(min_length=1, max_length=1000)]
     versions: dict[str, list[str]]
+    peers: Peers | None = None
 
 
 class Declared(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/vetchford/fleet/agent.py
+++ b/vetchford/fleet/agent.py
@@ -31,7 +31,9 @@
 TURN = 0.05  # s between looks at deadlines: a kill is late by this at most
 CHECK = 0.2  # s between ready checks of one instance: three that fail take a drain's notice's time
 CHECK_WAITS = 1.0  # s for an answer: a server that is only busy answers from store in a few ms
+LOOK = 2.0  # s between two looks at logs and memory: both grow by the minute
 CHECKERS = 8  # threads for checks: one that hangs holds up an eighth of them for a second
+STACK = 512 * 1024  # bytes a thread: a few for each peer, and the store's calls nest deepest
 MOST_LINE = 1 << 20  # bytes of a command
 CLIENTS = 64  # tools at once; more wait in the backlog
 CHECK_BODY = b'{"jsonrpc":"2.0","id":1,"method":"check"}'
@@ -54,9 +56,14 @@
         self.store = Store(told["store"])
         self.fleet = Fleet(self)
         self.ours: dict[str, processes.Process] = {}  # emptied as processes end
-        self.token, self.next_turn = "", 0.0
+        self.token, self.next_turn, self.next_look = "", 0.0, 0.0
+        self.joined: Any = None
         self.wake_read, self.wake_write = os.pipe()
         self.restore()
+        if told.get("peers"):
+            from vetchford.fleet.joined import Joined  # an agent alone does without it
+
+            self.joined = Joined(self, self, told["peers"], counts)
 
     def now(self) -> float:
         return time.monotonic() * 1000.0  # no deadline of ours may depend on a clock that is set
@@ -104,7 +111,9 @@
         told = [word.replace("{name}", name).replace("{listen}", spec["listen"]) for word in command]
         try:
             file = os.path.join(self.told["logs"], f"{name}.log")
-            self.ours[name] = processes.start(told, name, version, self.token, spec["environment"], file)
+            self.ours[name] = processes.start(
+                told, name, version, self.token, spec["environment"], file, spec["descriptors"]
+            )
         except OSError as problem:
             self.tell(self.spawn_failed, name, str(problem))
             return
@@ -126,6 +135,20 @@
     def note(self, event: str, **fields: Any) -> None:
         log.info(event, **fields)
 
+    def look_after(self) -> None:
+        """Logs that have grown long, and instances that take more memory than they are to."""
+        for name in self.specs:
+            path = os.path.join(self.told["logs"], f"{name}.log")
+            processes.turn_over(path, self.specs[name]["log_mb"] << 20)
+        for name, process in self.ours.items():
+            most = self.specs[name]["memory_mb"]
+            if most is None or processes.memory_kb(process.pid) <= most << 10:
+                continue
+            for change in self.fleet.changes.values():
+                if change.state in ("running", "back"):
+                    with contextlib.suppress(OSError):  # the store can't: it pauses for that
+                        self.fleet.pause(self.now(), change.id, f"{name} takes over {most} MB")
+
     # -- the actor
 
     def patience(self) -> float | None:
@@ -135,8 +158,15 @@
         if time.monotonic() >= self.next_turn:
             self.next_turn = time.monotonic() + TURN
             self.fleet.woke(self.now())
+            if self.joined is not None:
+                self.joined.woke()
+        if time.monotonic() >= self.next_look:
+            self.next_look = time.monotonic() + LOOK
+            self.look_after()
 
     def run(self) -> None:
+        if self.joined is not None:
+            self.joined.begin()
         for act in (self.watch, self.check_all):
             threading.Thread(target=act, daemon=True).start()
         super().run()
@@ -188,6 +218,11 @@
 
     def answer(self, request: Any, reply: "Queue[dict[str, Any]]") -> None:
         try:
+            if isinstance(request, dict) and request.get("ask") == "across":
+                if self.joined is None:
+                    raise RefusedError("this agent is of no fleet: its settings have no 'peers'")
+                self.joined.request(request["request"], reply.put)
+                return
             if not isinstance(request, dict) or request.get("ask") not in ASKED:
                 raise RefusedError(f"'ask' must be one of {', '.join(ASKED)}")
             reply.put(getattr(self, "on_" + request["ask"])(request))
@@ -338,6 +373,7 @@
 def serve(told: dict[str, Any]) -> int:
     """Runs until SIGTERM or SIGINT; the instances go on."""
     # Handled and not blocked: what is blocked here would be in the instances too, which then never leave.
+    threading.stack_size(STACK)
     leaving = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *given: leaving.set())
@@ -365,6 +401,8 @@
     log.info(
         "agent_serving", socket=told["socket"], instances=len(told["instances"]), adopted=len(agent.ours)
     )
+    if agent.joined is not None:
+        log.info("agent_joins", fleet=told["peers"]["fleet"], name=agent.joined.name, life=agent.joined.life)
     while not leaving.wait(0.2):
         pass  # in short waits: a handler runs in this thread alone
     os.unlink(told["socket"])
--- a/vetchford/fleet/cli.py
+++ b/vetchford/fleet/cli.py
@@ -1,18 +1,25 @@
-"""vetchford fleet: many instances, over one agent or several.
+"""vetchford fleet: many instances, over one agent or a fleet of agents.
 
 Usage:
   vetchford fleet [options] [--socket PATH]... status [SELECT...]
+  vetchford fleet [options] [--socket PATH]... watch [SELECT...]
   vetchford fleet [options] [--socket PATH]... (start | stop | drain | restart) SELECT...
   vetchford fleet [options] [--socket PATH]... roll --to VERSION SELECT...
   vetchford fleet [options] [--socket PATH]... (pause | resume | abort | wait) ID
   vetchford fleet [options] [--socket PATH]... history
   vetchford fleet [options] [--socket PATH]... explain INSTANCE
+  vetchford fleet [options] [--socket PATH]... peers
+  vetchford fleet [options] [--socket PATH]... (admit | dismiss) AGENT
   vetchford fleet (-h | --help)
 
-SELECT is a name, a pattern such as 'n*', group=NAME or label=NAME; 'all' is every instance.
+SELECT is a name, a pattern such as 'n*', group=NAME or label=NAME; 'all' is every instance. With --across it
+is also NAME@AGENT or agent=NAME, and `explain` takes a change's id. `watch`, `peers`, `admit` and `dismiss`
+are of a fleet, with or without --across.
 
 Options:
   --socket PATH      an agent's socket; several may be named, and are changed one after the other
+  --across           one change over all agents of the fleet; the first named agent that answers takes it
+  --by WHO           who admits or dismisses, for the record
   --to VERSION       the version to go to, as the agent's settings name it
   --id ID            the change's own id: the same command sent twice is one change
   --batch N          out at once, at most [default: 1]
@@ -27,40 +34,34 @@
 
 Exit status: 0 all done, 1 failed, 2 wrong usage or refused, 3 partly done, 4 an agent can't be reached.
 
-Example:
+Examples:
   vetchford fleet --socket run/agent.sock roll --to v2 --batch 2 --floor 10 group=pay
+  vetchford fleet --socket run/east.sock --across roll --to v2 --batch 3 --floor 14 'n*@east' agent=west
 """
 
 import fnmatch
 import json
-import socket
 import sys
 import time
 import uuid
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 from docopt import DocoptExit, docopt
 
-WAITS = 10.0  # s for an agent's answer
-DONE, FAILED, REFUSED, PARTLY, UNKNOWN = range(5)
-STATES = {"finished": DONE, "broken": PARTLY, "aborted": PARTLY, "paused": FAILED}
+from vetchford.fleet.calls import (
+    DONE,
+    FAILED,
+    REFUSED,
+    STATES,
+    UNKNOWN,
+    WAITS,
+    UnreachableError,
+    ask,
+    refused,
+)
 
-
-class UnreachableError(Exception):
-    """No answer from an agent: what it does is unknown."""
-
-
-def ask(path: str, request: dict[str, Any]) -> dict[str, Any]:
-    try:
-        with socket.socket(socket.AF_UNIX) as sock:
-            sock.settimeout(WAITS)
-            sock.connect(path)
-            with sock.makefile("rwb") as lines:
-                lines.write(json.dumps(request).encode() + b"\n")
-                lines.flush()
-                return json.loads(lines.readline())
-    except (OSError, ValueError) as problem:
-        raise UnreachableError(f"{path}: {problem}") from None
+READS = 3.0  # s for what only shows: a frozen agent is told as unknown by then
 
 
 def selected(instances: list[dict[str, Any]], wanted: list[str]) -> list[str]:
@@ -91,34 +92,60 @@
     out: dict[str, Any] = {}
     worst = DONE
     id = asked["ID"] or asked["--id"] or uuid.uuid4().hex[:12]
-    for path in asked["--socket"]:
+    paths = list(dict.fromkeys(asked["--socket"]))  # the options' library repeats a repeated option
+    if asked["--across"] or any(asked[word] for word in ("watch", "peers", "admit", "dismiss")):
+        from vetchford.fleet import wide
+
+        return wide.main(asked, paths, numbers, counts)
+    if asked["status"]:
+        return all_status(paths, asked)
+    for path in paths:
         try:
             out[path], status = one_agent(path, asked, id, numbers, counts)
         except UnreachableError as problem:
             print(f"vetchford: {problem}; what it does is unknown", file=sys.stderr)
             out[path], status = {"unknown": str(problem)}, UNKNOWN
         worst = max(worst, status)
-        if status not in (DONE, UNKNOWN) and asked["SELECT"] and not asked["status"]:
+        if status not in (DONE, UNKNOWN) and asked["SELECT"]:
             break  # what went wrong on one machine is not carried to the next
-        if status == UNKNOWN and not asked["status"]:
+        if status == UNKNOWN:
             break  # its floor can't be seen
     if asked["--json"]:
         print(json.dumps(out if len(out) > 1 else next(iter(out.values()))))
     return worst
 
 
-def one_agent(
-    path: str, asked: dict[str, Any], id: str, numbers: dict[str, float], counts: dict[str, int]
-) -> tuple[dict[str, Any], int]:
-    plain = not asked["--json"]
-    if asked["status"]:
-        answer = ask(path, {"ask": "status"})
+def all_status(paths: list[str], asked: dict[str, Any]) -> int:
+    """All at once: one that does not answer holds up no other."""
+
+    def act(path: str) -> dict[str, Any]:
+        try:
+            return ask(path, {"ask": "status"}, READS)
+        except UnreachableError as problem:
+            return {"unknown": str(problem)}
+
+    with ThreadPoolExecutor(len(paths)) as crew:
+        out = dict(zip(paths, crew.map(act, paths), strict=True))
+    worst = DONE
+    for answer in out.values():
+        if "unknown" in answer:
+            print(f"vetchford: {answer['unknown']}; what it does is unknown", file=sys.stderr)
+            worst = UNKNOWN
+            continue
         if asked["SELECT"]:
             names = set(selected(answer["instances"], asked["SELECT"]))
             answer["instances"] = [one for one in answer["instances"] if one["name"] in names]
-        if plain:
+        if not asked["--json"]:
             table(answer)
-        return answer, DONE
+    if asked["--json"]:
+        print(json.dumps(out if len(out) > 1 else next(iter(out.values()))))
+    return worst
+
+
+def one_agent(
+    path: str, asked: dict[str, Any], id: str, numbers: dict[str, float], counts: dict[str, int]
+) -> tuple[dict[str, Any], int]:
+    plain = not asked["--json"]
     if asked["history"]:
         answer = ask(path, {"ask": "history"})
         for entry in answer["history"] if plain else ():
@@ -161,13 +188,6 @@
     return follow(path, id, plain, numbers["patience"])
 
 
-def refused(answer: dict[str, Any]) -> int:
-    if "refused" in answer:
-        print(f"vetchford: {answer['refused']}", file=sys.stderr)
-        return REFUSED
-    return DONE
-
-
 def follow(path: str, id: str, plain: bool, patience: float) -> tuple[dict[str, Any], int]:
     """Waits for the change's end; an agent that is restarted meanwhile is asked again."""
     until, before, away = time.monotonic() + patience, {}, 0.0
@@ -190,9 +210,7 @@
         if answer["state"] in STATES:
             if plain:
                 killed = (
-                    f"; killed at their stop time: {', '.join(answer['killed'])}"
-                    if answer["killed"]
-                    else ""
+                    f"; killed at their stop time: {', '.join(answer['killed'])}" if answer["killed"] else ""
                 )
                 print(f"change {id} {answer['state']}: {answer['why']}{killed}")
             return answer, STATES[answer["state"]]
--- a/vetchford/fleet/membership.py
+++ b/vetchford/fleet/membership.py
@@ -9,7 +9,7 @@
 import math
 import zlib
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 ALIVE, SUSPECT, DEAD = "alive", "suspect", "dead"
@@ -23,6 +23,7 @@
 MOST_NEWS = 8  # pieces on one message: under a datagram's 1,400 bytes with names of 64
 MOST_AWARE = 4  # an agent that hears nobody is itself the likely trouble: waits up to five times as long
 FORGOTTEN = 120_000.0  # ms that the dead are kept, and asked now and then whether a split has healed
+ASLEEP = 1500.0  # ms between two calls of `woke`: fifteen of them were missed
 ASK_DEAD = 5  # periods between two such questions
 
 News = tuple[str, str, int]  # name, state, incarnation
@@ -59,12 +60,25 @@
     """One agent's view of all others."""
 
     def __init__(
-        self, host: Host, name: str, others: Iterable[str], seed: int, incarnation: int = 0
+        self,
+        host: Host,
+        name: str,
+        others: Iterable[str],
+        seed: int,
+        incarnation: int = 0,
+        listed: bool = False,
+        now: float = 0.0,
     ) -> None:
-        """`incarnation`: higher at each start of this agent, or what was said of it before would hold."""
+        """`incarnation`: higher at each start of this agent, or what was said of it before would hold.
+
+        `listed`: only `others` are ever taken in, none is forgotten, and none is taken for there before a
+        word of it.
+        """
         self.host, self.name, self.seed, self.draws = host, name, seed, 0
         self.incarnation, self.aware = incarnation, 0
-        self.members = {other: Member(ALIVE, 0, 0.0) for other in sorted(others) if other != name}
+        self.listed, self.woken = listed, now
+        first = Member(SUSPECT, -1, now) if listed else Member(ALIVE, 0, 0.0)
+        self.members = {other: replace(first) for other in sorted(others) if other != name}
         self.news: dict[str, int] = {
             name: 0
         }  # who there is news of, and how often it was sent; emptied by `ride`
@@ -89,6 +103,12 @@
 
     def woke(self, now: float) -> None:
         """Ten times a second or more often."""
+        gap, self.woken = now - self.woken, now
+        if gap > ASLEEP:  # we were stopped: nobody else is late because of it
+            for member in self.members.values():
+                member.since += gap
+            for probe in self.probes.values():
+                probe.until, probe.ends = probe.until + gap, probe.ends + gap
         for number, probe in list(self.probes.items()):
             if now >= probe.ends:
                 del self.probes[number]
@@ -107,7 +127,7 @@
             waits = SUSPECTED * PERIOD * self.doublings() * (1 + 0.5 * self.aware)
             if member.state == SUSPECT and now - member.since >= waits:
                 self.take(now, (name, DEAD, member.incarnation))
-            elif member.state == DEAD and now - member.since >= FORGOTTEN:
+            elif member.state == DEAD and now - member.since >= FORGOTTEN and not self.listed:
                 del self.members[name]
                 self.news.pop(name, None)
         if now >= self.next_probe:
@@ -138,7 +158,7 @@
         """A datagram; `about` names whom an "ask" is to be passed on to."""
         for piece in news:
             self.take(now, piece)
-        if sender not in self.members:
+        if sender not in self.members and not self.listed:
             self.take(now, (sender, ALIVE, 0))
         if kind == "ping":
             self.say(sender, "ack", number, "")
@@ -166,7 +186,7 @@
         member = self.members.get(name)
         rank = (ALIVE, SUSPECT, DEAD).index
         if member is None:
-            if state == DEAD:
+            if state == DEAD or self.listed:
                 return
             member = self.members[name] = Member("", -1, now)
         newer = incarnation > member.incarnation
--- a/vetchford/fleet/processes.py
+++ b/vetchford/fleet/processes.py
@@ -6,6 +6,8 @@
 
 import contextlib
 import os
+import resource
+import shutil
 import signal
 import subprocess
 from dataclasses import dataclass
@@ -58,8 +60,28 @@
         return 0
 
 
+def turn_over(path: str, most: int) -> bool:
+    """Moves what a log holds to `path`.1 once it is over `most` bytes; its writer appends, so it goes on at
+    0.
+    """
+    try:
+        if os.path.getsize(path) <= most:
+            return False
+        shutil.copyfile(path, path + ".1")
+        os.truncate(path, 0)
+    except OSError:  # not there yet, or no room for the copy: tried again with the next look
+        return False
+    return True
+
+
 def start(
-    command: list[str], name: str, version: str, token: str, extra: dict[str, str], log: str
+    command: list[str],
+    name: str,
+    version: str,
+    token: str,
+    extra: dict[str, str],
+    log: str,
+    descriptors: int | None = None,
 ) -> Process:
     """In a session of its own: a signal to the agent's terminal reaches none of them. Raises OSError."""
     told = {**os.environ, **extra, TOKEN: token, NAME: name, VERSION: version}
@@ -68,6 +90,8 @@
             command, stdin=subprocess.DEVNULL, stdout=file, stderr=file, env=told, start_new_session=True
         )
     try:
+        if descriptors is not None:
+            resource.prlimit(child.pid, resource.RLIMIT_NOFILE, (descriptors, descriptors))
         return Process(child.pid, began(child.pid) or "", os.pidfd_open(child.pid), child)
     except OSError:  # no descriptor left: one that can't be watched must not run
         child.kill()
--- a/vetchford/fleet/store.py
+++ b/vetchford/fleet/store.py
@@ -54,8 +54,10 @@
                 f"store {path}: torn ({sound[0]}); move it away to begin anew, or restore a copy"
             )
 
-    def put(self, kind: str, name: str, body: dict[str, Any] | None) -> None:
-        """None drops it. OSError where the disk is full or fails: then nothing of it is kept."""
+    def put(self, kind: str, name: str, body: dict[str, Any] | None, history: bool = True) -> None:
+        """None drops it; `history`: whether it is remembered beside the newest. OSError where the disk is
+        full or fails: then nothing of it is kept.
+        """
         text = json.dumps(body, sort_keys=True)
         try:
             self.base.execute("BEGIN IMMEDIATE")
@@ -65,9 +67,10 @@
                 self.base.execute(
                     "INSERT OR REPLACE INTO newest VALUES (?, ?, ?, ?)", (kind, name, text, summed(text))
                 )
-            self.base.execute("INSERT INTO history VALUES (?, ?, ?, ?)", (time.time(), kind, name, text))
-            self.puts += 1
-            if self.puts % PRUNE == 0:
+            if history:
+                self.base.execute("INSERT INTO history VALUES (?, ?, ?, ?)", (time.time(), kind, name, text))
+                self.puts += 1
+            if history and self.puts % PRUNE == 0:
                 last = "SELECT max(rowid) FROM history"
                 self.base.execute(f"DELETE FROM history WHERE rowid <= ({last}) - ?", (HISTORY,))
             self.base.execute("COMMIT")
@@ -96,8 +99,7 @@
             "SELECT at, kind, name, body FROM history ORDER BY rowid DESC LIMIT ?", (most,)
         )
         return [
-            {"at": at, "kind": kind, "name": name, "body": json.loads(body)}
-            for at, kind, name, body in rows
+            {"at": at, "kind": kind, "name": name, "body": json.loads(body)} for at, kind, name, body in rows
         ]
 
     def close(self) -> None:
