--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -31,6 +31,10 @@
 )
 
 
+class KilledError(Exception):
+    """The agent dies here, between two of its acts."""
+
+
 class Machine:
     """One agent's machine: its disk, its processes, and the agent while it runs."""
 
@@ -39,6 +43,7 @@
         self.disk, self.old_disk, self.up, self.life, self.full = {}, {}, {}, 0, False
         self.frozen_until, self.across, self.fleet, self.lives = 0.0, None, None, 0
         self.inbox = []  # what came while it was frozen
+        self.acts, self.dies_at = 0, 0  # acts on its host so far, and the one at which it dies; 0: none
 
     # -- its start and end
 
@@ -78,7 +83,13 @@
 
     # -- hosts of the decisions
 
+    def maybe_die(self):
+        self.acts += 1
+        if self.acts == self.dies_at:
+            raise KilledError(self)
+
     def record(self, kind, name, body):
+        self.maybe_die()
         if self.full:
             raise OSError("full")
         if body is None:
@@ -89,6 +100,7 @@
     keep = record
 
     def post(self, to, kind, body):
+        self.maybe_die()
         self.world.send(self.name, to, kind, body)
         return True
 
@@ -97,9 +109,11 @@
         chance = self.world.chance
         ready = 1e15 if version == "bad" else self.world.now + chance.uniform(50, 400)
         hangs = chance.random() < 0.05
+        self.maybe_die()
         self.up[name] = {"version": version, "ready": ready, "ends": 1e15, "hangs": hangs}
 
     def term(self, name):
+        self.maybe_die()
         self.world.checks_floor(self, name)
         process = self.up[name]
         process["leaving"] = True
@@ -190,12 +204,20 @@
     def run(self, until, stop=lambda: False):
         while self.queue and self.queue[0][0] <= until and not stop():
             self.now, _, act, given = heapq.heappop(self.queue)
-            act(*given)
+            self.guarded(act, *given)
         return stop()
 
+    def guarded(self, act, *given):
+        try:
+            act(*given)
+        except KilledError as killed:
+            machine = killed.args[0]
+            machine.end()
+            self.at(self.now + 1000.0, self.restart, machine, "kill")
+
     def turn(self):
         for machine in self.machines.values():
-            machine.turn()
+            self.at(self.now, machine.turn)
         self.at(self.now + TURN, self.turn)
 
     def send(self, sender, to, kind, body):
@@ -352,7 +374,7 @@
         if machine.across is None or self.now < machine.frozen_until:
             return out
         try:
-            machine.across.request(self.now, {"ask": ask, **fields}, out.append)
+            self.guarded(machine.across.request, self.now, {"ask": ask, **fields}, out.append)
         except RefusedError as problem:
             out.append({"refused": str(problem)})
         return out
--- a/tests/fleet/test_across.py
+++ b/tests/fleet/test_across.py
@@ -126,6 +126,46 @@
         assert len({entry["term"] for entry in world.history if entry["event"] == "drives"}) >= 2
 
 
+@pytest.mark.parametrize("who", ["driver", "other"])
+def test_an_agent_killed_between_each_two_of_its_acts_loses_nothing(who):
+    for at in range(1, 400):
+        world = World(11, agents=3, instances=2, floor=3)
+        world.up()
+        name = drives(world)[0]
+        machine = world.machines[name if who == "driver" else next(n for n in world.names if n != name)]
+        before = machine.acts
+        machine.dies_at = before + at
+        world.change(name, "r1", "roll", version="v2", batch=2, floor=3)
+        world.run(world.now + 15_000.0, lambda w=world: w.ended("r1"))
+        if world.span("r1") is None:  # it died before it was in force anywhere: asked again, as the tool does
+            world.change(world.names[0], "r1", "roll", version="v2", batch=2, floor=3)
+        assert world.run(world.now + 60_000.0, lambda w=world: w.ended("r1")), at
+        assert world.span("r1")["state"] == "finished" and not world.wrong(), at
+        assert {one["version"] for m in world.machines.values() for one in m.up.values()} == {"v2"}
+        if machine.acts - before < at and machine.across is not None and machine.lives == 1:
+            break  # the roll was over before
+    assert at > (60 if who == "driver" else 20)
+
+
+def test_three_of_five_agents_gone_stop_all_changes_and_their_return_goes_on():
+    world = quiet()
+    driver = drives(world)[0]
+    world.change(driver, "r1", "roll", version="v2", batch=2, floor=FLOOR)
+    world.run(world.now + 1000.0)
+    gone = [name for name in world.names if name != driver][:3]
+    for name in gone:
+        world.machines[name].end()
+    world.run(world.now + 15_000.0)
+    assert not drives(world, [name for name in world.names if name not in gone])
+    steps = dict(world.span("r1")["steps"])
+    world.run(world.now + 30_000.0)
+    assert world.span("r1")["steps"] == steps
+    for name in gone:
+        world.machines[name].begin()
+    assert world.run(world.now + 90_000.0, lambda: world.ended("r1"))
+    assert world.span("r1")["state"] == "finished" and not world.wrong()
+
+
 def test_one_that_hears_nobody_deposes_nobody():
     world = quiet()
     driver = drives(world)[0]
--- a/tests/fleet/test_agents.py
+++ b/tests/fleet/test_agents.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from standins.rig import ROOT, Rig, Script, wrong
+from standins.rig import ROOT, Rig, Script, free_ports, wrong
 
 
 @pytest.fixture
@@ -181,3 +181,29 @@
     assert watched.returncode == 0 and watched.stdout.count("serving") == 3
     peers = json.loads(tool(rig, "--json", "peers", sockets=["a0"]).stdout)
     assert {row["view"] for row in peers["peers"]} == {"there"} and peers["book"]["counted"]
+
+
+def test_a_second_machine_by_the_same_name_is_told_so_and_breaks_nothing(rig, tmp_path):
+    driver = rig.driver()
+    name = next(other for other in rig.names if other != driver)
+    home, port = tmp_path / "twin", free_ports(60)[-1]
+    home.mkdir()
+    text = (rig.folder / name / "fleet.vet").read_text().replace(str(rig.folder / name), str(home))
+    listen = rig.links.links[driver, name].to
+    text = text.replace(f"{listen[0]}:{listen[1]}", f"127.0.0.1:{port}")
+    (home / "fleet.vet").write_text(text)
+    command = [sys.executable, "-m", "vetchford", "agent", "--with", str(home / "fleet.vet")]
+    with (home / "agent.log").open("w") as log:
+        twin = subprocess.Popen(command, cwd=ROOT, stderr=log)
+    try:
+        others = [f"n{at}@{other}" for other in rig.names if other != name for at in range(2)]
+        rig.until(lambda: "state" in rig.change(driver, "r1", "roll", others, version="v2", floor=3), 30.0)
+        assert rig.ended("r1", 60.0)["state"] == "finished"
+        rig.until(
+            lambda: "life_raised" in (home / "agent.log").read_text() + str(rig.events()), 20.0, "not told"
+        )
+    finally:
+        twin.kill()
+        twin.wait()
+    rig.until(lambda: rig.peers(name)["book"]["counted"], 30.0, "the right one is not counted again")
+    assert not wrong(rig.events(), 3)
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -47,6 +47,27 @@
     assert net.views("a007") == {DEAD}
 
 
+def test_a_link_that_flaps_and_an_agent_that_stops_for_seconds_bury_nobody():
+    net = Net(20, 8)
+    for turn in range(60):
+        net.side["a003"] = turn % 2  # one second each way
+        net.slow["a005"] = 1000.0 if turn % 5 == 0 else 0.0
+        net.run(net.now + 1000.0)
+    assert not [entry for entry in net.told if entry[3] == DEAD]
+
+
+def test_a_listed_view_takes_in_nobody_else_and_one_that_was_stopped_buries_nobody():
+    net = Net(5, 9)
+    one = membership.Membership(net.agents["a000"].host, "a000", net.agents, 9, listed=True)
+    assert {member.state for member in one.members.values()} == {SUSPECT}  # nobody was heard yet
+    one.take(1.0, ("stranger", ALIVE, 3))
+    one.heard(1.0, "other", "ping", 1, "", [])
+    assert sorted(one.members) == ["a001", "a002", "a003", "a004"]
+    one.woke(100.0)
+    one.woke(60_000.0)
+    assert {member.state for member in one.members.values()} == {SUSPECT}
+
+
 def test_a_split_and_its_healing_end_with_everybody_seen_again():
     net = Net(30, 6)
     net.run(3_000.0)
