A malformed command over the fleet is refused at once; a full store ends no agent

Seen while reading the change as the one who is called at night: a request without its fields raised in the driver's turn, which in a debug build ends the agent's thread, and passed on to the driver it was answered after six seconds with another reason; an agent whose store was full when others told it of a later life raised in the same way. Both are answered and counted now.

--- a/tests/fleet/test_agents.py
+++ b/tests/fleet/test_agents.py
@@ -10,6 +10,7 @@
 import pytest
 
 from standins.rig import ROOT, Rig, Script, free_ports, wrong
+from vetchford.fleet.calls import UnreachableError, ask
 
 
 @pytest.fixture
@@ -177,6 +178,20 @@
     ):
         ran = tool(rig, *given)
         assert ran.returncode == code and text in ran.stdout + ran.stderr, (given, ran)
+    for request in (
+        {"ask": "span"},
+        {"ask": "span", "change": {"id": 3, "targets": 4}},
+        {"ask": "nothing"},
+        {},
+        7,
+    ):
+        for name in rig.names:  # the driver itself, and one that passes it on
+            try:
+                answer = ask(rig.path(name), {"ask": "across", "request": request}, 20.0)
+            except UnreachableError as problem:
+                raise AssertionError(f"{name} did not answer {request}") from problem
+            assert "refused" in answer, (name, request, answer)
+    assert not [entry for entry in rig.events() if entry["event"] == "part_broke"]
     watched = tool(rig, "--patience", "1", "watch", "n0")
     assert watched.returncode == 0 and watched.stdout.count("serving") == 3
     peers = json.loads(tool(rig, "--json", "peers", sockets=["a0"]).stdout)
--- a/vetchford/fleet/across.py
+++ b/vetchford/fleet/across.py
@@ -293,10 +293,7 @@
 
     def try_job(self, now: float, ref: int, job: Job) -> None:
         if self.driver is not None:
-            try:
-                answer = self.answer(now, job.request, now - job.since)
-            except RefusedError as problem:
-                answer = {"refused": str(problem)}
+            answer = self.safely(now, job.request, now - job.since)
             if answer is not None:
                 self.done(ref, answer)
                 return
@@ -337,6 +334,15 @@
             for span in self.book.body["spans"].values()
         ]
 
+    def safely(self, now: float, request: Body, waited: float) -> Body | None:
+        """What tools send is theirs: it may refuse them, and nothing more."""
+        try:
+            return self.answer(now, request, waited)
+        except RefusedError as problem:
+            return {"refused": str(problem)}
+        except (KeyError, TypeError, ValueError, AttributeError) as problem:
+            return {"refused": f"a malformed command: {type(problem).__name__}: {problem}"}
+
     def answer(self, now: float, request: Body, waited: float) -> Body | None:
         """As the one that drives; None while it is not in force, or not seen enough; `waited`: ms so far."""
         assert self.driver is not None
@@ -374,10 +380,7 @@
         if self.driver is None:
             return  # it asks whoever drives, again
         ref = word["ref"]
-        try:
-            answer = self.answer(now, word["request"], float(word["waited"]))
-        except RefusedError as problem:
-            answer = {"refused": str(problem)}
+        answer = self.safely(now, word["request"], float(word["waited"]))
         if answer is not None:
             self.host.post(sender, "told", {"ref": ref, "answer": answer})
 
--- a/vetchford/fleet/agent.py
+++ b/vetchford/fleet/agent.py
@@ -230,7 +230,7 @@
             reply.put({"refused": str(problem)})
         except OSError as problem:
             reply.put({"refused": str(problem)})
-        except (TypeError, KeyError, ValueError) as problem:
+        except (TypeError, KeyError, ValueError, AttributeError) as problem:
             reply.put({"refused": f"a malformed command: {type(problem).__name__}: {problem}"})
 
     def on_status(self, request: dict[str, Any]) -> dict[str, Any]:
--- a/vetchford/fleet/joined.py
+++ b/vetchford/fleet/joined.py
@@ -128,11 +128,17 @@
             self.counts.note("name_disputed", name=self.name)
             return
         self.raised.append(now)
+        before = self.life, self.store
         self.life, self.nonce = max(life, self.life) + 1, random.SystemRandom().getrandbits(62)
         # What the store promised may be lost: its word counts once it is listed anew.
         self.across.book.renamed(self.now(), uuid.uuid4().hex)
         self.store = self.across.book.store
-        self.keep_self()
+        try:
+            self.keep_self()
+        except OSError as problem:  # others go on refusing this life, and tell so with each new connection
+            self.life, self.store = before
+            self.counts.note("life_not_kept", problem=str(problem))
+            return
         log.warning("life_raised", life=self.life, known=life)
         self.views.incarnation = self.life * DENIALS
         self.views.news[self.name] = 0
