Actors: mailboxes, timers, counts and logs in a package of their own, imports one way

Two programs run on them now, and arrows went round: wire and lifecycle pointed at each other, pools and fleet at lifecycle. vetchford/actors/ holds them, lifecycle/ keeps configuration, start and signals, drain.py stands beside the module; a test says what each package may import of ours. Nothing else changed: moves and import lines alone.

--- a/tests/test_apart.py
+++ b/tests/test_apart.py
@@ -52,3 +52,25 @@
         for path in (sorted(file.rglob("*.py")) if file.is_dir() else [file])
     )
     assert not re.search(r"os\.fork|os\.exec|os\.spawn|subprocess|AF_UNIX|sendfile|splice|io_uring", code)
+
+
+# A package and what it may import of ours; arrows run one way, from programs down to plain data.
+BELOW = {
+    "actors": set(),
+    "memory": set(),
+    "wire": {"actors", "wire"},
+    "peers": {"actors", "peers"},
+    "pools": {"actors", "pools", "startup"},
+    "declared": {"declared", "startup"},
+    "fleet": {"actors", "fleet", "peers"},
+}
+
+
+def test_imports_run_one_way():
+    for package, allowed in BELOW.items():
+        for path in sorted((ROOT / "vetchford" / package).rglob("*.py")):
+            for found in re.findall(
+                r"^\s*(?:from|import) vetchford\.?(\w*)(?: import (\w+))?", path.read_text(), re.M
+            ):
+                name = found[0] or found[1]
+                assert name in allowed | {package}, f"{path.name} of {package} imports {name}"
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -9,8 +9,8 @@
 from helpers import TOLD, Recorder
 
 from vetchford import module as under_test
-from vetchford.lifecycle import timers
-from vetchford.lifecycle.counts import Counts
+from vetchford.actors import timers
+from vetchford.actors.counts import Counts
 from vetchford.module import ModuleActor
 from vetchford.wire.pool import Pool
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -15,9 +15,10 @@
 from helpers import TOLD, Recorder
 
 import vetchford
-from vetchford.lifecycle import configuration, logs
-from vetchford.lifecycle.actor import Crew, begin_thread
-from vetchford.lifecycle.counts import Counts
+from vetchford.actors import logs
+from vetchford.actors.actor import Crew, begin_thread
+from vetchford.actors.counts import Counts
+from vetchford.lifecycle import configuration
 from vetchford.memory.fingerprints import Fingerprints
 from vetchford.module import ModuleActor
 from vetchford.startup import MalformedError
@@ -218,7 +219,7 @@
     with pytest.raises(AssertionError):
         Counts().must(False, "one_answer")
     release = (
-        "from vetchford.lifecycle.counts import Counts\nc = Counts()\nc.must(False, 'one_answer')\n"
+        "from vetchford.actors.counts import Counts\nc = Counts()\nc.must(False, 'one_answer')\n"
         "print(c.by_name)"
     )
     ran = subprocess.run([sys.executable, "-O", "-c", release], capture_output=True, text=True, cwd=ROOT)
--- a/vetchford/cli.py
+++ b/vetchford/cli.py
@@ -44,7 +44,8 @@
 from docopt import DocoptExit, docopt
 
 import vetchford
-from vetchford.lifecycle import configuration, logs, server
+from vetchford.actors import logs
+from vetchford.lifecycle import configuration, server
 from vetchford.startup import MalformedError
 
 
--- a/vetchford/fleet/agent.py
+++ b/vetchford/fleet/agent.py
@@ -20,11 +20,11 @@
 
 import structlog
 
+from vetchford.actors.actor import Actor
+from vetchford.actors.counts import Counts
 from vetchford.fleet import processes
 from vetchford.fleet.decide import ALIVE, ENDED, Change, Fleet, RefusedError, Terms
 from vetchford.fleet.store import Store, StoreError
-from vetchford.lifecycle.actor import Actor
-from vetchford.lifecycle.counts import Counts
 
 log = structlog.get_logger()
 
--- a/vetchford/fleet/joined.py
+++ b/vetchford/fleet/joined.py
@@ -14,12 +14,12 @@
 
 import structlog
 
+from vetchford.actors.actor import Actor
+from vetchford.actors.counts import Counts
 from vetchford.fleet import membership, spans
 from vetchford.fleet.across import Across
 from vetchford.fleet.decide import Change, Fleet, RefusedError
 from vetchford.fleet.store import Store
-from vetchford.lifecycle.actor import Actor
-from vetchford.lifecycle.counts import Counts
 from vetchford.peers.decide import UP
 from vetchford.peers.talk import Talk
 
--- a/vetchford/lifecycle/__init__.py
+++ b/vetchford/lifecycle/__init__.py
@@ -1,1 +1,1 @@
-"""Start and stop of the server, and what its parts run on: mailboxes, timers, counts."""
+"""Start and stop of the server: configuration, signals, end."""
--- a/vetchford/lifecycle/server.py
+++ b/vetchford/lifecycle/server.py
@@ -10,8 +10,8 @@
 import structlog
 
 from vetchford import startup
+from vetchford.actors.counts import Counts
 from vetchford.lifecycle import configuration
-from vetchford.lifecycle.counts import Counts
 from vetchford.module import ModuleActor
 from vetchford.wire.balancers import Doors
 from vetchford.wire.members import Members
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -14,10 +14,10 @@
 import structlog
 
 from vetchford import rules, startup
-from vetchford.lifecycle.actor import Actor
-from vetchford.lifecycle.counts import Counts
-from vetchford.lifecycle.drain import Drain
-from vetchford.lifecycle.timers import Timers
+from vetchford.actors.actor import Actor
+from vetchford.actors.counts import Counts
+from vetchford.actors.timers import Timers
+from vetchford.drain import Drain
 from vetchford.memory.fingerprints import Fingerprints
 from vetchford.memory.tasks import Slot, Tasks
 from vetchford.wire import jsonrpc, poollines
--- a/vetchford/peers/talk.py
+++ b/vetchford/peers/talk.py
@@ -14,8 +14,8 @@
 
 import structlog
 
-from vetchford.lifecycle.actor import Actor, begin_thread
-from vetchford.lifecycle.counts import Counts
+from vetchford.actors.actor import Actor, begin_thread
+from vetchford.actors.counts import Counts
 from vetchford.peers import frames
 from vetchford.peers.decide import Outbox, Peers
 from vetchford.peers.frames import Envelope, FrameError
--- a/vetchford/pools/marks.py
+++ b/vetchford/pools/marks.py
@@ -6,7 +6,7 @@
 import structlog
 
 from vetchford import startup
-from vetchford.lifecycle.counts import Counts
+from vetchford.actors.counts import Counts
 from vetchford.pools import building
 from vetchford.pools.decide import PoolSet
 
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -7,8 +7,8 @@
 import time
 from typing import Any
 
-from vetchford.lifecycle.actor import Crew, CrewedActor
-from vetchford.lifecycle.counts import Counts
+from vetchford.actors.actor import Crew, CrewedActor
+from vetchford.actors.counts import Counts
 from vetchford.wire import jsonrpc
 from vetchford.wire.inbox import Inbox, UnfollowableError
 from vetchford.wire.lobby import Lobby
--- a/vetchford/wire/lobby.py
+++ b/vetchford/wire/lobby.py
@@ -5,7 +5,7 @@
 import time
 from typing import Any
 
-from vetchford.lifecycle.actor import Crew
+from vetchford.actors.actor import Crew
 
 EVERY = 0.05  # s between looks at what overstays; the shortest stay is twice that
 A_TURN = 64  # connections that spoke, before the next look
--- a/vetchford/wire/members.py
+++ b/vetchford/wire/members.py
@@ -3,8 +3,8 @@
 import socket
 import time
 
-from vetchford.lifecycle.actor import Actor
-from vetchford.lifecycle.counts import Counts
+from vetchford.actors.actor import Actor
+from vetchford.actors.counts import Counts
 from vetchford.wire import heartbeat
 
 EVERY = 0.25  # s; an entry lapses 3 s after its last report, and one datagram in four may be lost
--- a/vetchford/wire/pool.py
+++ b/vetchford/wire/pool.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from vetchford.lifecycle.actor import Crew, CrewedActor, begin_thread
-from vetchford.lifecycle.counts import Counts
+from vetchford.actors.actor import Crew, CrewedActor, begin_thread
+from vetchford.actors.counts import Counts
 from vetchford.wire import poollines
 from vetchford.wire.inbox import Inbox, UnfollowableError
 from vetchford.wire.sockets import send_now, send_parts, shut
--- a/vetchford/wire/records.py
+++ b/vetchford/wire/records.py
@@ -7,8 +7,8 @@
 from contextlib import suppress
 from typing import Any
 
-from vetchford.lifecycle.actor import Crew, CrewedActor
-from vetchford.lifecycle.counts import Counts
+from vetchford.actors.actor import Crew, CrewedActor
+from vetchford.actors.counts import Counts
 from vetchford.wire import recordlines
 from vetchford.wire.inbox import Inbox, UnfollowableError
 from vetchford.wire.sockets import connected, send_parts, shut
