--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -27,14 +27,15 @@
 class Machine:
     """One agent over a few instances, in a folder of its own."""
 
-    def __init__(self, folder, behaviours, stop="1s", ready="8s"):
+    def __init__(self, folder, behaviours, stop="1s", ready="8s", more=""):
         self.folder, self.socket, self.agent = folder, str(folder / "agent.sock"), None
         entries = []
         for at, behaviour in enumerate(behaviours):
             address = f"127.0.0.1:{free_port()}"
             command = json.dumps([sys.executable, "-S", "-m", "standins.instance", address, behaviour])
             entries.append(
-                f'n{at}: {{command: {command}, listen: "{address}", stop_ms: {stop}, ready_ms: {ready}}}'
+                f'n{at}: {{command: {command}, listen: "{address}", stop_ms: {stop}, '
+                f"ready_ms: {ready}{more}}}"
             )
         (folder / "fleet.vet").write_text(f"""
 version: 1
@@ -191,9 +192,7 @@
         assert {"unknown", "instances"} <= {key for part in json.loads(ran.stdout).values() for key in part}
 
 
-def test_a_store_that_is_torn_or_of_another_version_is_said_and_its_history_is_bounded(
-    tmp_path, monkeypatch
-):
+def test_a_store_that_is_torn_or_of_another_version_is_said_and_its_history_is_bounded(tmp_path, monkeypatch):
     path = str(tmp_path / "store")
     store = Store(path)
     monkeypatch.setattr("vetchford.fleet.store.HISTORY", 20)
@@ -228,3 +227,27 @@
             store.put("change", f"c{n}", {"text": "x" * 1000})
     store.base.execute("PRAGMA max_page_count = 100000")
     assert ("instance", "n1", {"wanted": True}) in store.all()
+
+
+def test_a_long_log_is_turned_over_and_its_writer_goes_on(tmp_path):
+    path = str(tmp_path / "n1.log")
+    assert not processes.turn_over(path, 100)  # not there yet
+    with open(path, "ab", buffering=0) as writer:
+        writer.write(b"a" * 100)
+        assert not processes.turn_over(path, 100)
+        writer.write(b"b")
+        assert processes.turn_over(path, 100)
+        writer.write(b"c")
+    assert Path(path).read_bytes() == b"c" and Path(path + ".1").read_bytes() == b"a" * 100 + b"b"
+
+
+def test_limits_of_an_instance_are_set_and_one_over_its_memory_pauses_changes(tmp_path):
+    with Machine(tmp_path, ["good", "good"], more=", descriptors: 77, memory_mb: 1") as machine:
+        ran = machine.tool("start", "--batch", "1", "--spacing", "9000", "all", check=False)
+        told = json.loads(ran.stdout)
+        assert ran.returncode == 1 and told["state"] == "paused" and "takes over 1 MB" in told["why"]
+        pid = next(one["pid"] for one in machine.status().values() if one["pid"])
+        limit = next(
+            line for line in Path(f"/proc/{pid}/limits").read_text().splitlines() if "open files" in line
+        )
+        assert limit.split()[3:5] == ["77", "77"]
--- a/tests/fleet/test_agents.py
+++ b/tests/fleet/test_agents.py
@@ -1,7 +1,9 @@
 """Agents in processes of their own, with links that break: who drives, what goes on, what is told."""
 
 import json
+import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -121,6 +123,29 @@
     rolled(rig)
 
 
+def test_a_machine_that_loses_disk_and_processes_comes_back_empty_and_is_counted_again(rig):
+    driver = rig.driver()
+    lost = next(name for name in rig.names if name != driver)
+    rig.change(driver, "r1", "roll", version="v2", batch=1, floor=3, on_failure="go_on")
+    rig.kill(lost)
+    for several in rig.found(lost).values():
+        for process, _ in several:
+            process.signal(signal.SIGKILL)
+            os.close(process.pidfd)
+    rig.old_store(lost)  # there is no copy: it begins empty
+    rig.begin(lost)
+    rig.until(
+        lambda: rig.peers(lost)["book"]["counted"] and rig.peers(lost)["life"] > 1, 30.0, "not listed anew"
+    )
+    assert rig.ended("r1", 60.0)["state"] in ("finished", "broken")
+    rig.driven()
+    started = rig.change(driver, "r2", "start", batch=6)
+    assert "refused" not in started, started
+    assert rig.ended("r2", 40.0)["state"] == "finished"
+    rig.change(driver, "r3", "roll", version="v3", batch=2, floor=3)
+    rolled(rig, "r3", "v3")
+
+
 def test_a_torn_stalled_and_slow_link_delays_and_breaks_nothing(rig):
     driver = rig.driver()
     rig.change(driver, "r1", "roll", version="v2", batch=2, floor=3)
--- a/tests/test_apart.py
+++ b/tests/test_apart.py
@@ -10,8 +10,8 @@
 
 # Parts that a server does without, and the libraries that are theirs alone. structlog brings asyncio and
 # with it subprocess, which nothing of ours uses, and would bring rich if it were there: hence blessed.
-APART = ("vetchford.fleet", "vetchford.peers", "vetchford.declared", "vetchford.pools", "vetchford.benchlink",
-         "standins", "lark", "msgspec", "xxhash", "rich.console", "blessed", "sqlite3",
+APART = ("vetchford.fleet", "vetchford.peers", "vetchford.subsets", "vetchford.declared", "vetchford.pools",
+         "vetchford.benchlink", "standins", "lark", "msgspec", "xxhash", "rich.console", "blessed", "sqlite3",
          "multiprocessing")  # fmt: skip
 
 
@@ -61,6 +61,7 @@
     "wire": {"actors", "wire"},
     "peers": {"actors", "peers"},
     "pools": {"actors", "pools", "startup"},
+    "subsets": {"subsets"},
     "declared": {"declared", "startup"},
     "fleet": {"actors", "fleet", "peers"},
 }
