fleet watch draws on terminals that tell no size; tried on one, and from a fresh clone

Seen when README's three agents were tried from a fresh clone: start, roll, peers and stop did as written, and watch drew empty lines on a terminal of 0 by 0, as a new pseudo-terminal has (wide.py cut each line at terminal.width). It takes 80 by 24 there. The test draws on a pseudo-terminal and fails without.

--- a/tests/fleet/test_agents.py
+++ b/tests/fleet/test_agents.py
@@ -2,7 +2,9 @@
 
 import json
 import os
+import pty
 import random
+import select
 import signal
 import socket
 import subprocess
@@ -219,6 +221,22 @@
     assert not [entry for entry in rig.events() if entry["event"] == "part_broke"]
     watched = tool(rig, "--patience", "1", "watch", "n0")
     assert watched.returncode == 0 and watched.stdout.count("serving") == 3
+    ours, theirs = pty.openpty()
+    drawn = subprocess.Popen(
+        [sys.executable, "-m", "vetchford", "fleet", "--socket", rig.path("a0"), "--patience", "1", "watch"],
+        cwd=ROOT, stdin=theirs, stdout=theirs, env={**os.environ, "TERM": "xterm"})  # fmt: skip
+    os.close(theirs)
+    shown = b""
+    while b"n1@a2" not in shown:
+        shown += os.read(ours, 65536)  # an error once it has ended
+    assert b"n0@a0" in shown and b"serving" in shown
+    while select.select([ours], [], [], 10.0)[0]:
+        try:
+            os.read(ours, 65536)
+        except OSError:
+            break
+    assert drawn.wait(20) == 0
+    os.close(ours)
     peers = json.loads(tool(rig, "--json", "peers", sockets=["a0"]).stdout)
     assert {row["view"] for row in peers["peers"]} == {"there"} and peers["book"]["counted"]
 
--- a/vetchford/fleet/wide.py
+++ b/vetchford/fleet/wide.py
@@ -284,8 +284,9 @@
                 while time.monotonic() < until:
                     lines: list[str] = []
                     columns(look(), lines.append)
-                    for at, line in enumerate(lines[: terminal.height - 1]):
-                        shown = line[: terminal.width]
+                    height, width = terminal.height or 24, terminal.width or 80  # some tell neither
+                    for at, line in enumerate(lines[: height - 1]):
+                        shown = line[:width]
                         print(terminal.move_xy(0, at) + (terminal.bold(shown) if at == 0 else shown), end="")
                         print(terminal.clear_eol, end="")
                     print(terminal.clear_eos, end="", flush=True)
