--- a/vetchford/fleet/calls.py
+++ b/vetchford/fleet/calls.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import sys
+from collections.abc import Callable
 from typing import Any
 
 WAITS = 10.0  # s for an agent's answer
@@ -32,3 +33,18 @@
         print(f"vetchford: {answer['refused']}", file=sys.stderr)
         return REFUSED
     return DONE
+
+
+def ended(id: str, answer: dict[str, Any], plain: bool) -> int:
+    """The exit status of a change that has ended or paused; says how, where a person reads it."""
+    if plain:
+        killed = answer["killed"]
+        late = f"; killed at their stop time: {', '.join(killed)}" if killed else ""
+        print(f"change {id} {answer['state']}: {answer['why']}{late}")
+    return STATES[answer["state"]]
+
+
+def columns(rows: list[tuple[str, ...]], out: Callable[[str], None] = print) -> None:
+    widths = [max(len(row[at]) for row in rows) for at in range(len(rows[0]))]
+    for row in rows:
+        out("  ".join(word.ljust(width) for word, width in zip(row, widths, strict=True)).rstrip())
--- a/vetchford/fleet/cli.py
+++ b/vetchford/fleet/cli.py
@@ -58,6 +58,8 @@
     WAITS,
     UnreachableError,
     ask,
+    columns,
+    ended,
     refused,
 )
 
@@ -208,12 +210,7 @@
                 print(f"{name} {step}", flush=True)
         before = answer["steps"]
         if answer["state"] in STATES:
-            if plain:
-                killed = (
-                    f"; killed at their stop time: {', '.join(answer['killed'])}" if answer["killed"] else ""
-                )
-                print(f"change {id} {answer['state']}: {answer['why']}{killed}")
-            return answer, STATES[answer["state"]]
+            return answer, ended(id, answer, plain)
         if time.monotonic() > until:
             print(f"vetchford: change {id} is still {answer['state']}", file=sys.stderr)
             return answer, FAILED
@@ -235,9 +232,7 @@
                 one["why"],
             )
         )
-    widths = [max(len(row[at]) for row in rows) for at in range(len(rows[0]))]
-    for row in rows:
-        print("  ".join(word.ljust(width) for word, width in zip(row, widths, strict=True)).rstrip())
+    columns(rows)
 
 
 def said(text: str) -> int:
--- a/vetchford/fleet/wide.py
+++ b/vetchford/fleet/wide.py
@@ -5,11 +5,21 @@
 import sys
 import time
 import uuid
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from vetchford.fleet.calls import DONE, FAILED, REFUSED, STATES, UNKNOWN, UnreachableError, ask, refused
+from vetchford.fleet.calls import (
+    DONE,
+    FAILED,
+    REFUSED,
+    STATES,
+    UNKNOWN,
+    UnreachableError,
+    ask,
+    columns,
+    ended,
+    refused,
+)
 
 Answer = dict[str, Any]
 AWAY = 30.0  # s without any agent until waiting is given up: a driver is replaced within ten
@@ -155,12 +165,7 @@
             print(f"waits: {waits}", flush=True)
         said = waits
         if answer["state"] in STATES:
-            if plain:
-                killed = (
-                    f"; killed at their stop time: {', '.join(answer['killed'])}" if answer["killed"] else ""
-                )
-                print(f"change {id} {answer['state']}: {answer['why']}{killed}")
-            return answer, STATES[answer["state"]]
+            return answer, ended(id, answer, plain)
         if time.monotonic() > until:
             print(f"vetchford: change {id} is still {answer['state']}", file=sys.stderr)
             return answer, FAILED
@@ -222,18 +227,12 @@
                         row["why"],
                     )
                 )
-            columns(rows, print)
+            columns(rows)
     if not plain:
         print(json.dumps(answers if len(answers) > 1 else next(iter(answers.values()))))
     return code
 
 
-def columns(rows: list[tuple[str, ...]], out: Callable[[str], None]) -> None:
-    widths = [max(len(row[at]) for row in rows) for at in range(len(rows[0]))]
-    for row in rows:
-        out("  ".join(word.ljust(width) for word, width in zip(row, widths, strict=True)).rstrip())
-
-
 def rows_of(answer: Answer, wanted: list[str]) -> list[tuple[str, ...]]:
     keys = selected(answer["instances"], wanted or ["all"])
     rows = [("NAME", "STATE", "VERSION", "CHANGE", "WHY")]
@@ -251,7 +250,7 @@
     if "refused" in answer:
         return refused(answer)
     if plain:
-        columns(rows_of(answer, asked["SELECT"]), print)
+        columns(rows_of(answer, asked["SELECT"]))
         for span in answer["spans"]:
             if span["state"] in ("running", "paused"):
                 waits = f"; waits: {span['waits']}" if span["waits"] else ""
