Test of an old store waits until its lives are known to others

Where neither has met life 3, nobody can tell of it, and the store put back rightly becomes life 3, not 4. The agent is as it was; the test now waits for what it rests on.

--- a/tests/fleet/test_agents.py
+++ b/tests/fleet/test_agents.py
@@ -112,8 +112,12 @@
     old = next(name for name in rig.names if name != rig.driver())
     rig.kill(old)
     rig.copy_store(old)
-    for _ in range(2):
+    others = [name for name in rig.names if name != old]
+    for life in (2, 3):  # known to both others before it ends: a life that nobody met can't be told of
         rig.begin(old)
+        rig.until(lambda life=life: all(row["life"] == life for name in others
+                                        for row in rig.peers(name)["peers"] if row["name"] == old),
+                  20.0, f"life {life} is not known")  # fmt: skip
         rig.kill(old)
     rig.old_store(old)
     rig.begin(old)
