--- a/benchmarks/fleets.py
+++ b/benchmarks/fleets.py
@@ -1,12 +1,14 @@
 """Several agents and one fleet: rolls among faults, mistakes that must be found, how fast a death is seen.
 
-Usage: python -m benchmarks.fleets [--quick] [--schedules N]
+Usage: python -m benchmarks.fleets [--quick] [--schedules N] [--from SEED] [--at-once N] [--only-processes]
 
 1. Virtual time: schedules of faults over five agents of four instances; in each a roll, and nothing may
 break. 2. Mistakes planted into the decisions: each must be found.
 3. Processes: five agents, four real servers each, under load, a roll, and a generated schedule of faults
 between
-   them. In full 200 schedules, which takes hours on one machine; `--schedules` says how many.
+   them, with clocks that go wrong. In full 200 schedules, which takes hours on one machine one after the
+   other;
+   `--schedules` says how many, `--at-once` how many side by side.
 4. The time until all see a death, agree after a healing and one drives, with agents in processes of their
 own, and
    messages and bytes an agent sends; the view alone at 200 and 500 in virtual time.
@@ -15,6 +17,7 @@
 agents.
 """
 
+import contextlib
 import json
 import multiprocessing
 import os
@@ -23,6 +26,7 @@
 import tempfile
 import threading
 import time
+from concurrent.futures import ProcessPoolExecutor, as_completed
 from typing import Any
 
 from benchmarks.pools import LIMIT, settings
@@ -87,6 +91,8 @@
             return [sys.executable, "-O", "-m", "vetchford", "serve", "--config", str(config)]
 
         with Rig(folder, AGENTS, EACH, seed, command, stop="3500ms") as rig:
+            script = Script(rig.names, seed, seconds, faults)
+            rig.clocks = script.clocks
             rig.begin()
             rig.driven()
             rig.up()
@@ -110,7 +116,7 @@
             time.sleep(1.0)
             roll = {"version": "v2", "batch": 3, "floor": FLOOR, "on_failure": "go_on", "soak": 500.0}
             rig.change(rig.names[seed % AGENTS], "r1", "roll", **roll)
-            made = Script(rig.names, seed, seconds, faults).play(rig)
+            made = script.play(rig)
             ended = rig.find("r1")
             if not ended["state"]:  # it was asked of an agent that was cut off, or died with it
                 rig.until(lambda: "refused" not in rig.change(rig.driven(), "r1", "roll", **roll), 30.0)
@@ -118,6 +124,9 @@
             for thread in threads:
                 thread.join()
             rig.until(lambda: rig.ask(rig.driven(), {"ask": "all"})["unknown"] == [], 30.0, "all seen again")
+            # An agent that was begun anew just now still checks those that it took over.
+            with contextlib.suppress(AssertionError):
+                rig.until(lambda: up(rig) == len(rig.addresses), 20.0)
             seen = rig.ask(rig.driven(), {"ask": "all"})["instances"]
             table = rig.table()
             events = rig.events()
@@ -139,8 +148,21 @@
             }  # fmt: skip
 
 
+def up(rig: Rig) -> int:
+    seen = rig.ask(rig.driven(), {"ask": "all"})["instances"]
+    return sum(one["state"] == "serving" for one in seen.values())
+
+
+def told(seed: int, seconds: float, faults: int) -> dict[str, Any]:
+    """As `of_processes`; a schedule that could not be played to its end is told with its reason."""
+    try:
+        return of_processes(seed, seconds, faults)
+    except Exception as problem:
+        return {"seed": seed, "broke": f"{type(problem).__name__}: {problem}"[:2000]}
+
+
 def sound(one: dict[str, Any]) -> bool:
-    return (
+    return "broke" not in one and (
         not one["wrong"] and one["matches_process_table"] and not one["lost"] and not one["ran_twice"]
         and not one["broken"] and one["serving"] == AGENTS * EACH
         and one["change"] == "finished" and one["new_version"] == AGENTS * EACH
@@ -216,19 +238,47 @@
     return sum(state == DEAD for _, _, _, state in net.told)
 
 
+def summed(played: list[dict[str, Any]]) -> dict[str, Any]:
+    """All schedules together, and whole those that are not sound."""
+    met: dict[str, int] = {}
+    for one in [one for one in played if "broke" not in one]:
+        met_there = {f"met {kind}": times for kind, times in one["met_on_links"].items()}
+        for kind, times in (one["faults"] | met_there).items():
+            met[kind] = met.get(kind, 0) + times
+    keys = ("tried", "lost", "lost_with_killed", "ran_twice", "broken", "drivers", "orders")
+    return {
+        "schedules": len(played), "sound": sum(map(sound, played)), "faults": met,
+        **{key: sum(one.get(key, 0) for one in played) for key in keys},
+        "unsound": [one for one in played if not sound(one)],
+    }  # fmt: skip
+
+
+def given(option: str, default: str) -> str:
+    return sys.argv[sys.argv.index(option) + 1] if option in sys.argv else default
+
+
 def main() -> int:
     quick = "--quick" in sys.argv
-    count = (
-        int(sys.argv[sys.argv.index("--schedules") + 1]) if "--schedules" in sys.argv else 1 if quick else 200
-    )
-    out: dict[str, Any] = {"quick": quick, "virtual": virtual(28 if quick else 4000)}
-    print("virtual:", out["virtual"], flush=True)
-    out["planted_found_after"] = planted()
-    print("planted:", out["planted_found_after"], flush=True)
+    count = int(given("--schedules", "1" if quick else "200"))
+    out: dict[str, Any] = {"quick": quick}
+    if "--only-processes" not in sys.argv:
+        out["virtual"] = virtual(28 if quick else 4000)
+        print("virtual:", out["virtual"], flush=True)
+        out["planted_found_after"] = planted()
+        print("planted:", out["planted_found_after"], flush=True)
     out["processes"] = []
-    for seed in range(21, 21 + count):
-        out["processes"].append(of_processes(seed, 8.0 if quick else 20.0, 5 if quick else 12))
-        print("processes:", out["processes"][-1], flush=True)
+    begin = int(given("--from", "21"))
+    seconds, faults = (8.0, 5) if quick else (20.0, 12)
+    with ProcessPoolExecutor(int(given("--at-once", "1")), multiprocessing.get_context("spawn")) as crew:
+        played = [crew.submit(told, seed, seconds, faults) for seed in range(begin, begin + count)]
+        for one in as_completed(played):
+            out["processes"].append(one.result())
+            print("processes:", out["processes"][-1], flush=True)
+    out["schedules_sound"] = sum(map(sound, out["processes"]))
+    if "--only-processes" in sys.argv:
+        good = out["schedules_sound"] == count
+        print(json.dumps({"good": good, **summed(out["processes"])}))
+        return 0 if good else 1
     out["agents"] = {n: sizes(n) for n in ((5, 20) if quick else (5, 20, 60))}
     print("agents:", out["agents"], flush=True)
     out["view_alone_death_s"] = {n: view_alone(n) for n in ((60,) if quick else (200, 500))}
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -1,7 +1,8 @@
 """Several agents in processes of their own with links between them that break, and one history of it all.
 
 `Rig` starts, kills, freezes and restarts; `Script` draws a schedule of faults from a seed (the same seed,
-the same script); `wrong` reads the history and knows nothing of how agents decide.
+the same script), and how wrong each agent's clock goes; `wrong` reads the history and knows nothing of how
+agents decide.
 """
 
 import datetime
@@ -54,6 +55,7 @@
         programs = {name: ("127.0.0.1", ports.pop()) for name in self.names}
         self.links = Links(programs if relays else {}, seed)
         self.running: dict[str, subprocess.Popen] = {}
+        self.clocks: dict[str, str] = {}  # of agents begun from now on: offset and rate, see actors/clock.py
         self.history: list[dict[str, Any]] = []
         self.addresses: dict[str, str] = {}
         for name in self.names:
@@ -117,7 +119,10 @@
                 str(home / "fleet.vet"),
             ]
             with (home / "agent.log").open("a") as log:
-                self.running[name] = subprocess.Popen(command, cwd=ROOT, stderr=log)
+                self.running[name] = subprocess.Popen(
+                    command, cwd=ROOT, stderr=log,
+                    env={**os.environ, "VETCHFORD_CLOCK": self.clocks.get(name, "")},
+                )  # fmt: skip
             self.told("agent_begun", agent=name)
         for name in names or self.names:
             self.until(lambda name=name: self.answers(name), 20.0, f"{name} does not answer")
@@ -337,6 +342,10 @@
 
     def __init__(self, names: list[str], seed: int, seconds: float, count: int) -> None:
         chance = random.Random(seed)
+        self.clocks = {
+            name: f"{chance.uniform(-86_400.0, 86_400.0):.3f} {chance.uniform(0.9, 1.1):.4f}" for name in
+            names
+        }
         self.steps = []
         for at in sorted(chance.uniform(0.0, seconds) for _ in range(count)):
             kind, name = chance.choice(self.KINDS), chance.choice(names)
--- a/tests/fleet/test_agents.py
+++ b/tests/fleet/test_agents.py
@@ -1,5 +1,6 @@
 """Agents in processes of their own, with links that break: who drives, what goes on, what is told."""
 
+import contextlib
 import json
 import os
 import pty
@@ -7,6 +8,7 @@
 import select
 import signal
 import socket
+import sqlite3
 import subprocess
 import sys
 import time
@@ -55,8 +57,24 @@
     began = rig.change(other, "r1", "roll", version="v2", batch=1, floor=3, soak=400.0)
     assert began["state"] == "running"
     waiting = subprocess.Popen(
-        [sys.executable, "-m", "vetchford", "fleet", "--across", "--json", "--socket", rig.path(driver),
-         "--socket", rig.path(other), "wait", "r1"], cwd=ROOT, stdout=subprocess.PIPE, text=True)  # fmt: skip
+        [
+            sys.executable,
+            "-m",
+            "vetchford",
+            "fleet",
+            "--across",
+            "--json",
+            "--socket",
+            rig.path(driver),
+            "--socket",
+            rig.path(other),
+            "wait",
+            "r1",
+        ],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     rig.until(lambda: "done" in rig.find("r1")["steps"].values(), 20.0, "the first step")
     rig.kill(driver)
     rig.driven([name for name in rig.names if name != driver])
@@ -93,8 +111,11 @@
     driver = rig.driver()
     frozen = next(name for name in rig.names if name != driver)
     rig.change(driver, "r1", "roll", version="v2", batch=2, floor=3, soak=300.0)
-    rig.until(lambda: any(step == "out" and frozen in key for key, step in rig.find("r1")["steps"].items()),
-              20.0, "a step of its own")  # fmt: skip
+    rig.until(
+        lambda: any(step == "out" and frozen in key for key, step in rig.find("r1")["steps"].items()),
+        20.0,
+        "a step of its own",
+    )
     rig.freeze(frozen)
     rig.until(lambda: frozen in rig.find("r1", [driver])["waits"], 20.0, "its silence is not told")
     began = time.monotonic()
@@ -115,9 +136,16 @@
     others = [name for name in rig.names if name != old]
     for life in (2, 3):  # known to both others before it ends: a life that nobody met can't be told of
         rig.begin(old)
-        rig.until(lambda life=life: all(row["life"] == life for name in others
-                                        for row in rig.peers(name)["peers"] if row["name"] == old),
-                  20.0, f"life {life} is not known")  # fmt: skip
+        rig.until(
+            lambda life=life: all(
+                row["life"] == life
+                for name in others
+                for row in rig.peers(name)["peers"]
+                if row["name"] == old
+            ),
+            20.0,
+            f"life {life} is not known",
+        )
         rig.kill(old)
     rig.old_store(old)
     rig.begin(old)
@@ -152,6 +180,24 @@
     rolled(rig, "r3", "v3")
 
 
+def test_clocks_a_day_apart_and_a_tenth_too_fast_or_slow_break_nothing(tmp_path):
+    with Rig(tmp_path, agents=3, instances=2) as rig:
+        rig.clocks = {"a0": "-86400 0.9", "a1": "86400 1.1", "a2": "3 1"}
+        rig.begin()
+        rig.up()
+        driver = rig.driven()
+        other = next(name for name in rig.names if name != driver)
+        rig.change(other, "r1", "roll", version="v2", batch=1, floor=3, soak=300.0)
+        rig.until(lambda: "done" in rig.find("r1")["steps"].values(), 20.0, "the first step")
+        rig.kill(driver)
+        rig.driven([name for name in rig.names if name != driver])
+        rig.begin(driver)
+        rolled(rig)
+        with contextlib.closing(sqlite3.connect(tmp_path / "a1" / "store")) as base:
+            ((first,),) = base.execute("SELECT min(at) FROM history")
+        assert first > time.time() + 80_000.0  # its day is a day ahead, and nobody minded
+
+
 def test_a_torn_stalled_and_slow_link_delays_and_breaks_nothing(rig):
     driver = rig.driver()
     rig.change(driver, "r1", "roll", version="v2", batch=2, floor=3)
@@ -186,8 +232,12 @@
     held = [socket.create_connection(listen) for _ in range(20)]  # say nothing
     rig.change(name, "r1", "restart", batch=2, floor=3)
     rolled(rig, version="1")
-    rig.until(lambda: {entry.get("why") for entry in rig.events() if entry["event"] == "peer_refused"}
-              >= {"no_frame", "other_version", "too_long", "crowd"}, 10.0, "not all were told")  # fmt: skip
+    rig.until(
+        lambda: {entry.get("why") for entry in rig.events() if entry["event"] == "peer_refused"}
+        >= {"no_frame", "other_version", "too_long", "crowd"},
+        10.0,
+        "not all were told",
+    )
     for sock in held:
         sock.close()
 
@@ -228,7 +278,11 @@
     ours, theirs = pty.openpty()
     drawn = subprocess.Popen(
         [sys.executable, "-m", "vetchford", "fleet", "--socket", rig.path("a0"), "--patience", "1", "watch"],
-        cwd=ROOT, stdin=theirs, stdout=theirs, env={**os.environ, "TERM": "xterm"})  # fmt: skip
+        cwd=ROOT,
+        stdin=theirs,
+        stdout=theirs,
+        env={**os.environ, "TERM": "xterm"},
+    )
     os.close(theirs)
     shown = b""
     while b"n1@a2" not in shown:
--- a/vetchford/fleet/agent.py
+++ b/vetchford/fleet/agent.py
@@ -21,6 +21,7 @@
 import structlog
 
 from vetchford.actors.actor import Actor
+from vetchford.actors.clock import clock
 from vetchford.actors.counts import Counts
 from vetchford.fleet import processes
 from vetchford.fleet.decide import ALIVE, ENDED, Change, Fleet, RefusedError, Terms
@@ -66,7 +67,7 @@
             self.joined = Joined(self, self, told["peers"], counts)
 
     def now(self) -> float:
-        return time.monotonic() * 1000.0  # no deadline of ours may depend on a clock that is set
+        return clock.now()  # no deadline of ours may depend on a time of day that is set
 
     # -- what outlives it
 
--- a/vetchford/fleet/joined.py
+++ b/vetchford/fleet/joined.py
@@ -6,7 +6,6 @@
 """
 
 import random
-import time
 import uuid
 import zlib
 from collections.abc import Callable
@@ -15,6 +14,7 @@
 import structlog
 
 from vetchford.actors.actor import Actor
+from vetchford.actors.clock import clock
 from vetchford.actors.counts import Counts
 from vetchford.fleet import membership, spans
 from vetchford.fleet.across import Across
@@ -79,7 +79,7 @@
         self.talk.begin()
 
     def now(self) -> float:
-        return time.monotonic() * 1000.0
+        return clock.now()
 
     def woke(self) -> None:
         now = self.now()
@@ -122,8 +122,8 @@
         """Somebody knows a later life of our name: our store is an old copy or empty, or the name is used
         twice.
         """
-        now = time.monotonic()
-        self.raised = [at for at in self.raised if now - at < 60.0]
+        now = self.now()
+        self.raised = [at for at in self.raised if now - at < 60_000.0]
         if len(self.raised) >= DISPUTED:
             self.counts.note("name_disputed", name=self.name)
             return
--- a/vetchford/fleet/store.py
+++ b/vetchford/fleet/store.py
@@ -6,11 +6,12 @@
 
 import json
 import sqlite3
-import time
 import zlib
 from pathlib import Path
 from typing import Any
 
+from vetchford.actors.clock import clock
+
 VERSION = 1
 HISTORY = 10_000  # entries kept: a roll over a hundred instances writes some five hundred
 PRUNE = 500  # entries beyond before the oldest go, so that not every write deletes
@@ -68,7 +69,7 @@
                     "INSERT OR REPLACE INTO newest VALUES (?, ?, ?, ?)", (kind, name, text, summed(text))
                 )
             if history:
-                self.base.execute("INSERT INTO history VALUES (?, ?, ?, ?)", (time.time(), kind, name, text))
+                self.base.execute("INSERT INTO history VALUES (?, ?, ?, ?)", (clock.day(), kind, name, text))
                 self.puts += 1
             if history and self.puts % PRUNE == 0:
                 last = "SELECT max(rowid) FROM history"
--- a/vetchford/peers/talk.py
+++ b/vetchford/peers/talk.py
@@ -15,6 +15,7 @@
 import structlog
 
 from vetchford.actors.actor import Actor, begin_thread
+from vetchford.actors.clock import clock
 from vetchford.actors.counts import Counts
 from vetchford.peers import frames
 from vetchford.peers.decide import Outbox, Peers
@@ -103,7 +104,7 @@
         begin_thread(self.read_datagrams, "peers-datagrams", self.counts)
 
     def now(self) -> float:
-        return time.monotonic() * 1000.0
+        return clock.now()
 
     def woke(self) -> None:
         self.decide.woke(self.now())
