--- a/tests/test_apart.py
+++ b/tests/test_apart.py
@@ -10,7 +10,8 @@
 
 # Parts that a server does without, and the libraries that are theirs alone. structlog brings asyncio and
 # with it subprocess, which nothing of ours uses, and would bring rich if it were there: hence blessed.
-APART = ("vetchford.fleet", "vetchford.peers", "vetchford.subsets", "vetchford.declared", "vetchford.pools",
+APART = ("vetchford.fleet", "vetchford.peers", "vetchford.subsets", "vetchford.turns", "vetchford.signals",
+"vetchford.neighbours", "vetchford.declared", "vetchford.pools",
          "vetchford.benchlink", "standins", "lark", "msgspec", "xxhash", "rich.console", "blessed", "sqlite3",
          "multiprocessing")  # fmt: skip
 
@@ -62,6 +63,7 @@
     "peers": {"actors", "peers"},
     "pools": {"actors", "pools", "startup"},
     "subsets": {"subsets"},
+    "turns": {"turns"},
     "declared": {"declared", "startup"},
     "fleet": {"actors", "fleet", "peers"},
 }
