--- /dev/null
+++ b/benchmarks/together.py
@@ -0,0 +1,218 @@
+"""Many servers that act on what all see, against the same servers alone, in one run; and signals and turns
+by size.
+
+Usage: python -m benchmarks.together [--quick] [--seeds N]
+
+1. Processes: eight servers a side before one ledger a side, at once and under the same load. The ledger
+   slows to a
+   tenth, then answers nothing, then is back. Between the servers that speak to each other links lose, are
+   cut, slow
+   and torn by a seeded script meanwhile.
+2. Virtual time: error, age and bytes of the signals by number of servers at 0, 5 and 20 % loss, with
+   liars; turns
+   under schedules of faults, with the holders counted by a checker, and planted mistakes that must be found.
+
+Scaled down: one machine, all on loopback; a pool's cores are by time; 45 tasks a second a server.
+"""
+
+import json
+import multiprocessing
+import os
+import pathlib
+import sys
+import tempfile
+import threading
+import time
+from concurrent.futures import ProcessPoolExecutor
+from typing import Any
+
+from benchmarks.pools import DUE, LIMIT, settings
+from standins import gossip, turning
+from standins.load import Flow, Load
+from standins.rig import Script
+from standins.several import Several, most_at_once
+
+COUNT, SLOTS, CALL = 8, 16, 40.0  # servers a side; the ledger's slots, ms of a call
+FLOWS = [
+    Flow("session-check", 15.0, 4.0),
+    Flow("fee-quote", 15.0, 30.0, 1),
+    Flow("charge", 15.0, 40.0, 1, True),
+]  # 240 calls a second of 400 that the ledger makes
+
+
+def phases(quick: bool) -> dict[str, tuple[float, float]]:
+    well, slow, dead = (5.0, 8.0, 5.0) if quick else (8.0, 20.0, 8.0)
+    back = well + slow + dead
+    return {
+        "well": (2.0, well),
+        "slow": (well, well + slow),
+        "dead": (well + slow, back),
+        "back": (back, back + 8.0),
+    }
+
+
+def side(together: bool, quick: bool, seed: int, at: float, offset: int, pools: str) -> dict[str, Any]:
+    """One fleet; `at`: Unix seconds when the load begins."""
+    time.sleep(offset * 0.3)  # so that both sides don't look for the same ports
+    when = phases(quick)
+    seconds = when["back"][1]
+    speed = [(0.0, 1.0), (when["slow"][0], 0.1), (when["dead"][0], 0.0), (when["back"][0], 1.0)]
+    told = settings()
+    told["familyInfo"]["depShare"] = float(SLOTS) / COUNT * 2.0
+    with tempfile.TemporaryDirectory() as name:
+        several = Several(
+            pathlib.Path(name), COUNT, told, SLOTS, CALL, speed, together, seed=seed, pools_file=pools
+        )
+        with several:
+            several.begin()
+            loads = {
+                one: Load(port, FLOWS, seconds, DUE, LIMIT, seed=seed * 100 + n, connections=6)
+                for n, (one, port) in enumerate(several.ports.items())
+            }
+            time.sleep(max(0.0, at - 0.2 - time.time()))
+            late = time.time() > at
+            several.ledger.begin(at)
+            threads = [threading.Thread(target=load.run, args=(at,)) for load in loads.values()]
+            for thread in threads:
+                thread.start()
+            faults = break_links(several, seed, at, seconds) if together else {}
+            for thread in threads:
+                thread.join()
+            ran = several.pools.end()["ran"]
+            below = several.ledger.end()
+            several.stop()
+            stages: dict[str, dict[str, float]] = {}
+            tries: dict[float, list[bool]] = {}
+            for flow in FLOWS:
+                tried = [one for load in loads.values() for one in load.tallies[flow.stage].tried_at]
+                stages[flow.stage] = {
+                    phase: round(part([good for when, good in tried if begin <= when < end]), 4)
+                    for phase, (begin, end) in when.items()
+                }
+                for moment, good in tried:
+                    tries.setdefault(moment // 0.5 * 0.5, []).append(good)
+            back = when["back"][0]
+            full = next((t for t in sorted(tries) if t >= back and part(tries[t]) >= 0.9), seconds) - back
+            # A call of a task that was given up on, or that was turned away below: work for nothing.
+            return {
+                "served": stages,
+                "calls_made": len(below["done"]),
+                "calls_wasted": below["given_up"] + below["turned_away"],
+                "full_service_after_s": full,
+                "late": late,
+                "faults": faults,
+                "met_on_links": several.links.met(),
+                "ran_twice": sum(count > 1 for count in ran.values()),
+                "wrong": [line for load in loads.values() for line in load.wrong][:4] + several.broken()[:4],
+                "cut": sum(len(load.cut) for load in loads.values()),
+                "states": [[e["server"], e["state"], e["why"]] for e in several.events("records_seen")],
+                "turns": len(several.events("turn_taken")),
+                "probed_at_once": most_at_once(several),
+            }
+
+
+def break_links(several: Several, seed: int, at: float, seconds: float) -> dict[str, int]:
+    """Link faults by a script; two of eight servers at a time at most, so that most still see each other."""
+    met: dict[str, int] = {}
+    chosen = [
+        step
+        for step in Script(several.names, seed, seconds, 40).steps
+        if step[1] in ("cut", "one_way", "lose", "slow", "double", "reorder")
+    ]
+    for when, kind, name, _, lasts in chosen[:12]:
+        time.sleep(max(0.0, at + when - time.time()))
+        links = several.links.between({name}) if kind == "cut" else several.links.of(name)
+        if kind == "one_way":
+            links = [link for link in links if link.source == name]
+        several.links.fault(kind, links)
+        met[kind] = met.get(kind, 0) + 1
+        time.sleep(min(lasts, 2.0))
+        several.links.fault("heal", links)
+    return met
+
+
+def part(outcomes: list[bool]) -> float:
+    return sum(outcomes) / max(1, len(outcomes))
+
+
+def sides(quick: bool, seed: int, pools: str) -> dict[str, Any]:
+    at = time.time() + 8.0
+    with ProcessPoolExecutor(2, multiprocessing.get_context("spawn")) as crew:
+        on = crew.submit(side, True, quick, seed, at, 0, pools)
+        off = crew.submit(side, False, quick, seed, at, 1, pools)
+        return {"seed": seed, "on": on.result(), "off": off.result()}
+
+
+def served(one: dict[str, Any], phase: str) -> float:
+    """By utility: 1, 2, 3."""
+    return (
+        sum(worth * one["served"][flow.stage][phase] for worth, flow in zip((1, 2, 3), FLOWS, strict=True))
+        / 6.0
+    )
+
+
+def holds(pair: dict[str, Any]) -> dict[str, bool]:
+    on, off = pair["on"], pair["off"]
+    return {
+        "half of the calls wasted": on["calls_wasted"] <= 0.5 * off["calls_wasted"],
+        "no less served while it is slow": served(on, "slow") >= served(off, "slow") - 0.02,
+        "no less served while it is dead": served(on, "dead") >= served(off, "dead") - 0.02,
+        "no less served once it is back": served(on, "back") >= served(off, "back") - 0.02,
+        "full service no later": on["full_service_after_s"] <= off["full_service_after_s"] + 0.5,
+        "two probe at once at most": on["probed_at_once"] <= 2,
+        "rules": not (on["ran_twice"] or off["ran_twice"] or on["wrong"] or off["wrong"]),
+    }
+
+
+def turns(count: int) -> dict[str, Any]:
+    with multiprocessing.Pool(max(1, (os.cpu_count() or 2) - 1)) as crew:
+        played = crew.map(turning.played, range(1, count + 1))
+        found = dict(
+            zip(sorted(turning.MISTAKES), crew.map(turning.caught, sorted(turning.MISTAKES)), strict=True)
+        )
+    return {
+        "schedules": count,
+        "wrong": [one["wrong"] for one in played if one["wrong"]][:3],
+        "turns": sum(one["turns"] for one in played),
+        "stuck": sum(one["after"] < 3 for one in played),
+        "planted_found_after": found,
+    }
+
+
+def main() -> int:
+    quick = "--quick" in sys.argv
+    seeds = int(sys.argv[sys.argv.index("--seeds") + 1]) if "--seeds" in sys.argv else 1 if quick else 3
+    out: dict[str, Any] = {"quick": quick, "pairs": []}
+    for seed in range(31, 31 + seeds):
+        pair = sides(quick, seed)
+        pair["holds"] = holds(pair)
+        out["pairs"].append(pair)
+        print("servers:", json.dumps(pair), flush=True)
+    out["turns"] = turns(28 if quick else 300)
+    print("turns:", out["turns"], flush=True)
+    cases = [
+        (n, loss) for n in ((3, 10, 100) if quick else (3, 10, 100, 300, 1000)) for loss in (0.0, 0.05, 0.2)
+    ]
+    with multiprocessing.Pool(max(1, (os.cpu_count() or 2) - 1)) as crew:
+        out["signals"] = crew.starmap(gossip.measured, cases)
+    for one in out["signals"]:
+        print("signals:", one, flush=True)
+    bytes_at = {one["servers"]: one["bytes_per_s"] for one in out["signals"] if not one["loss"]}
+    good = (
+        all(all(pair["holds"].values()) for pair in out["pairs"])
+        and not out["turns"]["wrong"]
+        and not out["turns"]["stuck"]
+        and all(out["turns"]["planted_found_after"].values())
+        and all(
+            one["error"] <= 0.05 and one["with_liars"] <= 0.1 and one["age_ms"] <= 2500.0
+            for one in out["signals"]
+        )
+        and bytes_at[max(bytes_at)]
+        <= 1.5 * bytes_at[10]  # the logarithm of ten times as many is over 1.5 of it
+    )
+    print(json.dumps({"good": good, **out}))
+    return 0 if good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/gossip.py
@@ -0,0 +1,114 @@
+"""Signals in virtual time: what all see of a figure that changes, by size, loss and liars."""
+
+import random
+from typing import Any
+
+import msgspec
+
+from standins.world import Port, World
+from vetchford.signals.decide import OLD, PERIOD, Figure, Signals
+from vetchford.subsets.decide import View
+
+FIGURES = (
+    Figure("pace", 64.0),
+    Figure("lost", 1.0),
+    Figure("full", 1.0),
+    Figure("memory", 1.0),
+    Figure("rate", 1e5),
+)
+LIARS = 0.1  # of the servers: they tell the most that can be told
+packer = msgspec.msgpack.Encoder()
+
+
+class Program:
+    """One server that sees a share of its own around the true one."""
+
+    def __init__(
+        self, port: Port, names: list[str], rings: dict[str, list[str]], truth: Any, lies: bool
+    ) -> None:
+        self.port, self.truth, self.lies, self.bytes = port, truth, lies, 0
+        self.chance = random.Random(f"{port.name}")
+        self.signals = Signals(self, port.name, port.life, FIGURES, 7)
+        self.signals.there(names, rings[port.name])
+        self.turns = 0
+
+    def send_rows(self, to: str, rows: list[Any]) -> None:
+        self.bytes += len(packer.encode(rows)) + 60  # the envelope: measured on sockets
+        self.port.send(to, rows)
+
+    def note(self, event: str, **fields: Any) -> None: ...
+
+    def heard(self, now: float, sender: str, rows: Any) -> None:
+        self.signals.heard(now, sender, rows)
+
+    def woke(self, now: float) -> None:
+        self.turns += 1
+        if self.turns % 2:  # each 200 ms
+            own = (
+                1.0
+                if self.lies
+                else min(1.0, max(0.0, self.truth(self.port.world.now) + self.chance.gauss(0.0, 0.02)))
+            )
+            self.signals.measured(
+                now, {"full": own, "pace": 64.0 if self.lies else 1.0, "memory": 0.3, "rate": 40.0}
+            )
+        self.signals.woke(now)
+
+
+def made(count: int, loss: float, liars: bool, truth: Any, seed: int = 1) -> World:
+    names = [f"server-{n:04}" for n in range(count)]
+    rings = View(names, "fleet").listens(3)
+    lying = set(names[: int(LIARS * count)]) if liars else set()
+    return World(
+        names,
+        seed,
+        lambda port: Program(port, names, rings, truth, port.name in lying),
+        loss,
+        loss,
+        slope=0.01,
+    )
+
+
+def off(world: World, truth: float) -> tuple[float, float, float]:
+    """Mean and worst error over all honest servers, and mean age of what they rest on."""
+    errors, ages = [], []
+    for name, program in world.programs.items():
+        if program.lies:
+            continue
+        aggregate = program.signals.aggregate(world.clock(name), "full")
+        errors.append(abs(aggregate.value - truth) if aggregate else 1.0)
+        ages.append(aggregate.age if aggregate else OLD)
+    return sum(errors) / len(errors), max(errors), sum(ages) / len(ages)
+
+
+def measured(count: int, loss: float) -> dict[str, Any]:
+    """Figures of one size: at rest, after a jump from 0.1 to 0.8, and with a tenth of liars."""
+    world = made(count, loss, False, lambda now: 0.1 if now < 10_000.0 else 0.8)
+    world.run(10_000.0)
+    rest, worst, age = off(world, 0.1)
+    sent = sum(program.bytes for program in world.programs.values())
+    # Until the aggregate of all has gone half of the way, and nine tenths of it.
+    half = whole = 0.0
+    while world.now < 25_000.0 and not whole:
+        world.run(world.now + 100.0)
+        seen = [
+            program.signals.aggregate(world.clock(name), "full") for name, program in world.programs.items()
+        ]
+        if not half and all(one is not None and one.value >= 0.45 for one in seen):
+            half = world.now - 10_000.0
+        if all(one is not None and one.value >= 0.73 for one in seen):
+            whole = world.now - 10_000.0
+    lied = made(count, loss, True, lambda now: 0.1)
+    lied.run(8_000.0)
+    return {
+        "servers": count,
+        "loss": loss,
+        "error": round(rest, 4),
+        "worst": round(worst, 4),
+        "age_ms": round(age),
+        "jump_half_ms": half,
+        "jump_ms": whole,
+        "with_liars": round(off(lied, 0.1)[0], 4),
+        "bytes_per_s": round(sent / count / 10.0),
+        "messages_per_s": round(2000.0 / PERIOD, 1),
+    }
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -18,6 +18,7 @@
         self.done: list[float] = []  # when calls were answered, in seconds from the start
         self.ran: dict[str, int] = {}  # calls that had their effect, by body
         self.given_up = self.turned_away = 0
+        self.open: set[Any] = set()  # emptied as calls are answered or given up
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -40,6 +41,7 @@
                         sock.sendall(words[1] + b" WAIT\r\n")
                     else:
                         calls.add(entry)
+                        self.open.add(entry)
                         self.shared.add(entry, self.takes)
                 else:
                     for entry in [entry for entry in calls if entry[0] == words[1]]:
@@ -51,11 +53,14 @@
 
     def give_up(self, entry: Any, calls: set[Any]) -> None:
         calls.discard(entry)
-        self.given_up += 1
+        if entry in self.open:
+            self.open.discard(entry)
+            self.given_up += 1
         self.shared.drop(entry)
 
     def finished(self, entry: Any) -> None:
         name, sock, body = entry
+        self.open.discard(entry)
         self.done.append(self.shared.at - self.shared.began)
         self.ran[body.decode()] = self.ran.get(body.decode(), 0) + 1
         try:
@@ -69,4 +74,5 @@
     pipe.send(ledger.listener.getsockname()[1])
     while (told := pipe.recv()) is not None:
         ledger.shared.began = told
-    pipe.send({"done": ledger.done, "ran": ledger.ran, "turned_away": ledger.turned_away})
+    pipe.send({"done": ledger.done, "ran": ledger.ran, "turned_away": ledger.turned_away,
+               "given_up": ledger.given_up})
--- a/standins/links.py
+++ b/standins/links.py
@@ -24,6 +24,20 @@
 RESET = struct.pack("ii", 1, 0)
 
 
+def both_ways() -> tuple[socket.socket, socket.socket]:
+    """A listener and datagrams at one port; the system may have given it to some sender of datagrams."""
+    for _ in range(100):
+        listener = socket.create_server(("127.0.0.1", 0), backlog=16)
+        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            datagrams.bind(listener.getsockname())
+            return listener, datagrams
+        except OSError:
+            listener.close()
+            datagrams.close()
+    raise RuntimeError("no free port")
+
+
 class Link:
     """From one program to another: streams that the first opens, datagrams that it sends."""
 
@@ -31,10 +45,8 @@
         self.source, self.target, self.to = source, target, to
         self.chance, self.faults, self.met = random.Random(seed), set(), {}
         self.changed, self.streams, self.held = threading.Condition(), [], None
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=16)
+        self.listener, self.datagrams = both_ways()
         self.port = self.listener.getsockname()[1]
-        self.datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.datagrams.bind(("127.0.0.1", self.port))
         self.out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.running = True
         for act in (self.accept, self.pass_datagrams):
--- a/standins/turning.py
+++ b/standins/turning.py
@@ -226,3 +226,15 @@
         if run.wrong:
             return seed
     return 0
+
+
+def played(seed: int) -> dict[str, Any]:
+    """One schedule, healed after it, and a leader that another takes the place of."""
+    run = Turning(seed, loss=0.05, doubled=0.1)
+    run.faulty(120.0)
+    had = sum(run.had.values())
+    run.healed()
+    run.world.run(run.world.now + 30_000.0)
+    after = sum(run.had.values()) - had
+    run.usurped()
+    return {"wrong": run.wrong[:3], "turns": had + after, "after": after, "faults": run.faults}
--- /dev/null
+++ b/tests/neighbours/test_measure.py
@@ -0,0 +1,41 @@
+"""What one server tells of itself."""
+
+from vetchford.neighbours.measure import WINDOW, Measure
+
+
+def figures(measure, now, begun=(), usual=40.0, counts=None):
+    return measure.figures(now, begun, usual, counts or {}, 10.0, 100.0)
+
+
+def test_a_server_without_calls_says_nothing_of_the_service():
+    assert figures(Measure(), 0.0) == {"memory": 0.1}
+
+
+def test_pace_and_lost_calls_are_those_of_the_window_and_cut_ones_count_as_slow():
+    measure = Measure()
+    for at in range(10):
+        measure.call_ended(float(at), "completed", 40.0)
+    told = figures(measure, 10.0)
+    assert told["pace"] == 1.0 and told["lost"] == 0.0 and told["well"] == 1.0
+    for at in range(5):
+        measure.call_ended(WINDOW + 100.0 + at, "overdue", 1800.0)
+    told = figures(measure, WINDOW + 200.0)
+    assert told["lost"] == 1.0 and told["pace"] == 45.0 and told["well"] == WINDOW + 191.0
+    assert "pace" not in figures(measure, 9 * WINDOW) and "lost" not in figures(measure, 9 * WINDOW)
+
+
+def test_a_call_that_is_out_for_long_with_no_end_seen_tells_of_a_service_that_hangs():
+    measure = Measure()
+    for at in range(10):
+        measure.call_ended(float(at), "completed", 40.0)
+    assert figures(measure, 3000.0, begun=[2100.0]).get("lost") is None  # under a second
+    assert figures(measure, 3000.0, begun=[1900.0])["lost"] == 1.0
+    measure.call_ended(2990.0, "completed", 900.0)  # it answers others
+    assert figures(measure, 3000.0, begun=[1900.0])["lost"] == 0.0
+
+
+def test_the_share_turned_away_is_that_of_the_last_seconds():
+    measure = Measure()
+    assert "full" not in figures(measure, 0.0, counts={"read": 100, "rejected_at_door": 90})
+    told = figures(measure, 1000.0, counts={"read": 200, "rejected_at_door": 110, "rejected_held": 5})
+    assert told["full"] == 0.25 and told["rate"] == 100.0
--- /dev/null
+++ b/tests/neighbours/test_servers.py
@@ -0,0 +1,154 @@
+"""Servers in processes of their own that speak to each other, over links that break."""
+
+import json
+import signal
+import socket
+import threading
+import time
+
+import pytest
+
+from benchmarks.pools import settings
+from standins.load import Flow, Load
+from standins.several import Several, most_at_once
+
+
+@pytest.fixture
+def several(tmp_path):
+    with Several(
+        tmp_path / "fleet", 4, settings(), 8, 40.0, [(0.0, 1.0)], probes=1, turns={"deep": 1}
+    ) as made:
+        made.begin()
+        made.until(lambda: all(len(there(made, name)) == 3 for name in made.names), 20.0, "all see all")
+        yield made
+        assert not made.broken()
+
+
+def there(several, name):
+    """Whom it sees, by its log."""
+    last = {}
+    for entry in several.events("neighbour_seen", name):
+        last[entry["neighbour"]] = entry["there"]
+    return {other for other, seen in last.items() if seen}
+
+
+def leaders(several):
+    return [entry["server"] for entry in several.events("turns_lead")]
+
+
+def test_servers_find_each_other_lose_one_that_dies_and_take_it_back_in_a_new_life(several):
+    gone = several.names[3]
+    several.kill(gone)
+    several.until(lambda: gone not in there(several, several.names[0]), 30.0, "its death is seen")
+    several.begin(gone)
+    several.until(lambda: gone in there(several, several.names[0]), 20.0, "it is seen again")
+    several.stop()
+
+
+def test_the_keeper_that_leads_is_frozen_and_another_leads_and_it_says_so_as_it_wakes(several):
+    several.until(lambda: leaders(several), 20.0, "nobody leads")
+    first = leaders(several)[0]
+    several.freeze(first)
+    several.until(lambda: set(leaders(several)) - {first}, 30.0, "no other leads")
+    several.thaw(first)
+    several.until(lambda: several.events("turns_left", first), 10.0, "it still takes itself for the leader")
+    several.stop()
+
+
+def test_a_records_service_that_hangs_is_called_by_one_at_a_time_and_by_all_once_it_answers(tmp_path):
+    speed = [(0.0, 1.0), (4.0, 0.0), (11.0, 1.0)]
+    told = settings()
+    told["familyInfo"]["depShare"] = 4.0
+    with Several(tmp_path / "fleet", 4, told, 8, 40.0, speed, probes=1) as several:
+        several.begin()
+        several.until(lambda: leaders(several), 20.0, "nobody leads")
+        flows = [Flow("fee-quote", 10.0, 5.0, 1), Flow("charge", 10.0, 5.0, 1, True)]
+        loads = [
+            Load(port, flows, 16.0, 1800.0, 4400.0, seed=n, connections=4)
+            for n, port in enumerate(several.ports.values())
+        ]
+        at = time.time() + 0.5
+        several.ledger.begin(at)
+        threads = [threading.Thread(target=load.run, args=(at,)) for load in loads]
+        for thread in threads:
+            thread.start()
+        several.until(
+            lambda: {one["server"] for one in several.events("records_seen") if one["state"] == "dead"}
+            == set(several.names),
+            20.0,
+            "not all hold it for dead",
+        )
+        several.until(
+            lambda: {
+                one["server"]
+                for one in several.events("records_seen")
+                if one["state"] == "well" and one["was"] == "opening"
+            }
+            == set(several.names),
+            30.0,
+            "not all opened",
+        )
+        for thread in threads:
+            thread.join()
+        assert several.events("turn_taken") and most_at_once(several) == 1
+        assert not [line for load in loads for line in load.wrong] and not any(load.cut for load in loads)
+        several.stop()
+        assert max(several.ledger.end()["ran"].values()) == 1
+        assert not several.broken()
+
+
+def test_links_cut_and_one_way_between_servers_cost_no_server_and_heal(several):
+    one = several.names[0]
+    for kind in ("cut", "one_way", "lose"):
+        several.links.fault(kind, several.links.of(one))
+    several.until(lambda: not there(several, one), 40.0, "it sees nobody")
+    several.links.heal()
+    several.until(lambda: len(there(several, one)) == 3, 40.0, "it sees all again")
+    several.stop()
+
+
+def test_what_is_no_neighbour_is_counted_and_changes_nothing(several):
+    address = several.programs[several.names[0]]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        for data in (b"", b"GET /", b"vf\x09" + b"\0" * 30, b"vf\x01\0" + b"\xff" * 40, b"\0" * 1400):
+            sock.sendto(data, address)
+    several.until(lambda: several.events("peer_refused", several.names[0]), 10.0, "it was not told")
+    several.stop()
+
+
+def test_acting_on_signals_is_turned_off_and_on_in_a_running_server_by_sighup(several):
+    name = several.names[0]
+    several.write_together(name, records=False, full=False)
+    several.running[name].send_signal(signal.SIGHUP)
+    several.until(lambda: several.events("together_renewed", name), 20.0, "not renewed")
+    assert several.events("together_renewed", name)[0]["records"] is False
+    (several.folder / f"{name}.vet").write_text("version: 1\ntogether: {fleet: 5}\n")
+    several.running[name].send_signal(signal.SIGHUP)
+    several.until(lambda: several.events("configuration_refused", name), 20.0, "a wrong file was taken")
+    several.stop()
+
+
+def test_a_file_that_names_no_such_keeper_or_server_is_refused_in_one_line_with_its_place(tmp_path):
+    from vetchford.declared.apart import read
+    from vetchford.startup import MalformedError
+
+    base = {
+        "fleet": "pay",
+        "name": "s1",
+        "listen": "127.0.0.1:1",
+        "servers": {"s1": "127.0.0.1:1"},
+        "keepers": ["s1"],
+    }
+    for key, value, text in (
+        ("name", "s2", "together.name"),
+        ("keepers", ["s1", "s9"], "together.keepers"),
+        ("keepers", [], "together.keepers"),
+        ("probes", 0, "together.probes"),
+        ("surprise", 1, "together.surprise"),
+    ):
+        file = tmp_path / "wrong.vet"
+        entries = "\n".join(f"{name}: {json.dumps(given)}" for name, given in (base | {key: value}).items())
+        file.write_text(f"version: 1\ntogether: {{\n{entries}\n}}\n")
+        with pytest.raises(MalformedError) as refused:
+            read([str(file)], None)
+        assert text in str(refused.value) and "wrong.vet:" in str(refused.value), str(refused.value)
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -261,3 +261,20 @@
             assert frames.datagram(bytes(spoilt)).sequence == 3  # the reserved byte says nothing yet
         except FrameError as problem:
             assert str(problem) in frames.WRONG
+
+
+def test_without_streams_nobody_is_called_and_an_old_life_hears_of_the_later_one_rarely():
+    side = Side()
+    told = []
+    side.tell_life = lambda peer, life, nonce: told.append((peer, life, nonce))
+    side.peers.streams = False
+    side.peers.woke(0.0)
+    assert not side.dialled
+    assert side.peers.datagram(1000.0, "10.0.0.1", Envelope("pay", "b", 9, 4, 1, "news", None))
+    for at in range(10):  # its clock went back, or its name is used twice
+        assert not side.peers.datagram(1000.0 + at, "10.0.0.1", Envelope("pay", "b", 8, 5, 2 + at, "news", None))
+    assert told == [("b", 9, 4)]
+    assert not side.peers.datagram(1300.0, "10.0.0.1", Envelope("pay", "b", 8, 5, 20, "news", None))
+    assert len(told) == 2
+    side.peers.compare(9, 4)
+    assert side.outlived_by == [9]
--- /dev/null
+++ b/tests/signals/test_signals.py
@@ -0,0 +1,216 @@
+"""Signals: rows by origin under loss, doubling, splits, liars and departures; what a server concludes from
+them."""
+
+import random
+
+import pytest
+
+from standins import gossip
+from vetchford.signals.conclude import ALONE, FIGURES, MOST_STRETCH, Conclusions
+from vetchford.signals.decide import MOST_KNOWN, MOST_ROWS, OLD, Figure, Signals
+
+
+class Host:
+    def __init__(self):
+        self.sent, self.notes, self.wanted, self.mine = [], [], 0, False
+
+    def send_rows(self, to, rows):
+        self.sent.append((to, rows))
+
+    def note(self, event, **fields):
+        self.notes.append((event, fields))
+
+    def want_probe(self):
+        self.wanted = True
+
+    def done_probe(self):
+        self.wanted = self.mine = False
+
+    def may_probe(self):
+        return self.mine
+
+
+FULL = (Figure("full", 1.0),)
+
+
+def signals(names, me="a", figures=FULL):
+    host = Host()
+    made = Signals(host, me, 1, figures, 3)
+    made.there(names, names[:3])
+    return made, host
+
+
+def test_a_row_counts_once_by_life_and_sequence_and_grows_old():
+    one, _ = signals(["b", "c", "d"])
+    one.heard(0.0, "b", [["b", 1, 5, 100, [500]]])
+    one.heard(1.0, "c", [["b", 1, 4, 0, [900]]])  # late
+    one.heard(2.0, "c", [["b", 1, 5, 0, [900]]])  # doubled
+    assert one.told(2.0, "full") == [(0.5, 102.0)]
+    one.heard(3.0, "c", [["b", 2, 1, 50, [700]]])  # a new life
+    assert one.told(3.0, "full") == [(0.7, 50.0)]
+    one.heard(4.0, "b", [["b", 1, 99, 0, [100]]])
+    assert one.told(4.0, "full")[0][0] == 0.7
+    assert one.told(3.0 + OLD, "full") == []
+    one.heard(5.0, "b", [["c", 1, 1, OLD, [100]], ["a", 1, 9, 0, [100]], ["stranger", 1, 1, 0, [100]]])
+    assert len(one.told(5.0, "full")) == 1  # too old, our own name, not of the fleet
+
+
+def test_what_leaves_counts_no_more_and_the_table_and_the_message_are_bounded():
+    names = [f"n{n:03}" for n in range(400)]
+    one, host = signals(names)
+    for at, name in enumerate(names):
+        one.heard(float(at), name, [[name, 1, 1, 0, [10]]])
+    assert len(one.rows) == MOST_KNOWN and "n399" in one.rows and "n000" not in one.rows
+    one.measured(400.0, {"full": 2.0})
+    one.woke(400.0)
+    assert len(host.sent) == 2 and all(len(rows) == MOST_ROWS and rows[0][0] == "a" for _, rows in host.sent)
+    assert host.sent[0][1][0][4] == [1000]  # bounded
+    one.there(names[:390], names[:3])
+    assert not {"n390", "n399"} & set(one.rows)
+    one.measured(401.0, {"full": float("nan")})
+    assert one.rows["a"].values == [-1]
+
+
+@pytest.mark.parametrize(
+    "rows",
+    [
+        [["b", 1, 1, 0, [5, 5]]],
+        [["b", 1, 1, -5, [5]]],
+        [["b", 1, 1, 0, [2000]]],
+        [["b"]],
+        7,
+        [["b", "x", 1, 0, [1]]],
+        [["b", 1, 1, 0, ["x"]]],
+    ],
+)
+def test_what_is_no_row_is_refused(rows):
+    one, _ = signals(["b"])
+    with pytest.raises((ValueError, TypeError)):
+        one.heard(0.0, "b", rows)
+    assert not one.rows
+
+
+def test_no_liar_moves_an_aggregate_past_what_honest_servers_see():
+    chance = random.Random(5)
+    for _ in range(300):
+        count = chance.randint(3, 40)
+        liars = (count - 1) // 6 if count > 6 else 1
+        names = [f"n{n}" for n in range(count)]
+        one, _ = signals(names)
+        honest = []
+        for at, name in enumerate(names):
+            value = chance.choice((0, 1000)) if at < liars else chance.randint(200, 400)
+            honest += [value / 1000.0] if at >= liars else []
+            one.heard(0.0, name, [[name, 1, 1, chance.randint(0, 900), [value]]])
+        aggregate = one.aggregate(0.0, "full")
+        assert min(honest) <= aggregate.value <= max(honest) and aggregate.rows == count
+    one, _ = signals(["b", "c"])
+    one.heard(0.0, "b", [["b", 1, 1, 0, [1000]], ["c", 1, 1, 0, [1000]]])
+    assert one.aggregate(0.0, "full") is None  # two say too little
+
+
+@pytest.mark.parametrize(("count", "loss"), [(3, 0.2), (10, 0.05), (60, 0.2)])
+def test_all_see_a_jump_within_seconds_in_messages_of_one_size(count, loss):
+    found = gossip.measured(count, loss)
+    assert found["error"] < 0.05 and 0.0 < found["jump_ms"] <= 6000.0 and found["with_liars"] < 0.1
+    assert found["bytes_per_s"] < 2500 and found["age_ms"] < 2500
+
+
+def test_a_split_leaves_each_side_its_own_and_healing_brings_the_rest():
+    world = gossip.made(12, 0.05, False, lambda now: 0.2)
+    world.run(5_000.0)
+    half = sorted(world.programs)[:6]
+    world.split(half)
+    world.run(5_000.0 + OLD + 3_000.0)
+    for name, program in world.programs.items():
+        side = {origin in half for origin in program.signals.rows}
+        assert side == {name in half}
+    world.heal()
+    world.run(world.now + 5_000.0)
+    assert all(len(program.signals.rows) >= 11 for program in world.programs.values())
+
+
+def concluding(count=5):
+    names = [f"n{n}" for n in range(count)]
+    one, host = signals(names, "a", FIGURES)
+    return one, Conclusions(host, "a", 1, one), host
+
+
+def say(one, now, sequence, **figures):
+    """All others tell the same."""
+    for name in one.others:
+        values = [-1] * len(FIGURES)
+        for figure, value in figures.items():
+            at = [known.name for known in FIGURES].index(figure)
+            values[at] = round(1000 * min(value, FIGURES[at].most) / FIGURES[at].most)
+        one.heard(now, name, [[name, 1, sequence, 0, values]])
+
+
+def test_a_server_that_has_not_called_yet_acts_on_what_the_others_see():
+    one, concludes, host = concluding()
+    assert concludes.turn(0.0) == concludes.turn(1.0) and concludes.turn(2.0).pace == 1.0
+    say(one, 100.0, 1, pace=10.0, lost=0.2, well=0.0)
+    assert concludes.turn(100.0).pace == pytest.approx(10.0, 0.01) and concludes.state == "slow"
+    say(one, 200.0, 2, pace=2.0, lost=0.0, well=0.0)
+    assert concludes.turn(200.0).pace == pytest.approx(2.0, 0.02)  # not yet usual
+    say(one, 300.0, 3, pace=1.2, lost=0.0, well=0.0)
+    assert concludes.turn(300.0).pace == 1.0 and concludes.state == "well"
+
+
+def test_nothing_heard_means_alone_as_before():
+    one, concludes, _ = concluding()
+    say(one, 0.0, 1, pace=10.0, full=0.9)
+    assert concludes.turn(0.0).full
+    numbers = concludes.turn(OLD + 1.0)
+    assert (numbers.pace, numbers.room, numbers.full, numbers.stretch) == (1.0, 1.0, False, 1.0)
+
+
+def test_a_dead_service_is_called_by_who_holds_the_turn_alone_and_by_all_once_it_answers():
+    one, concludes, host = concluding()
+    say(one, 0.0, 1, lost=1.0, well=400.0)
+    assert concludes.turn(0.0).room == 1.0  # somebody was answered just now: no service is dead then
+    say(one, 1000.0, 2, lost=1.0, well=1400.0)
+    assert concludes.turn(1000.0).room == 0.0 and host.wanted
+    host.mine = True
+    assert 0.0 < concludes.turn(1100.0).room < 0.01
+    host.mine = False
+    say(one, 2000.0, 3, lost=1.0, well=2400.0)
+    assert concludes.turn(2000.0).room == 0.0
+    say(one, 2500.0, 4, lost=0.5, well=10.0)
+    concludes.turn(2500.0)
+    assert concludes.state == "opening" and not host.wanted
+    rooms = []
+    for at in range(2500, 2600, 5):
+        say(one, float(at), at, lost=0.0, well=1.0)
+        rooms.append(concludes.turn(float(at)).room)
+    assert rooms == sorted(rooms) and rooms[0] < 0.5 and rooms[-1] == 1.0 and concludes.state == "well"
+
+
+def test_where_nobody_tells_of_a_probe_a_server_tries_by_itself():
+    one, concludes, host = concluding()
+    say(one, 0.0, 1, lost=1.0, well=2000.0)
+    assert concludes.turn(0.0).room == 0.0
+    assert concludes.turn(ALONE - 1.0).room == 0.0
+    concludes.turn(ALONE + 1.0)
+    assert concludes.state == "opening"
+
+
+def test_a_full_fleet_ends_walks_and_stretches_return_times_within_bounds():
+    one, concludes, _ = concluding()
+    say(one, 0.0, 1, full=0.4)
+    assert not concludes.turn(0.0).full
+    for at, (share, stretch) in enumerate(((0.6, 2.5), (0.4, 1.67), (0.99, MOST_STRETCH)), 2):
+        say(one, float(at), at, full=share)
+        numbers = concludes.turn(float(at))
+        assert numbers.full and numbers.stretch == pytest.approx(stretch, 0.02)
+    say(one, 9.0, 9, full=0.1)
+    assert not concludes.turn(9.0).full
+
+
+def test_servers_open_apart_by_their_names():
+    starts = set()
+    for name in ("s1", "s2", "s3", "s11", "s12"):
+        one = Signals(Host(), name, 1, FIGURES, 3)
+        one.there([f"n{n}" for n in range(200)], [])
+        starts.add(round(Conclusions(Host(), name, 1, one).apart()))
+    assert len(starts) == 5 and max(starts) <= 402
--- a/tests/test_apart.py
+++ b/tests/test_apart.py
@@ -64,6 +64,8 @@
     "pools": {"actors", "pools", "startup"},
     "subsets": {"subsets"},
     "turns": {"turns"},
+    "signals": {"signals"},
+    "neighbours": {"actors", "fleet", "neighbours", "peers", "signals", "subsets", "turns"},
     "declared": {"declared", "startup"},
     "fleet": {"actors", "fleet", "peers"},
 }
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -135,3 +135,32 @@
     for q in range(40):
         send(server, 0.0, q, again=q % 2 == 0, size=4000)  # memory is short
     assert [act[2] for act in host.acts if act[0] == "reject"][-6:] == [True] * 6
+
+
+def test_what_the_fleet_tells_shuts_calls_gates_by_their_time_ends_walks_and_stretches_pauses():
+    # At rest the numbers change nothing: tests/test_unchanged.py has the digests.
+    host = Recorder()
+    server = node(host, stages=[stage(due=1000.0, limit=2000.0), stage(skip_utility=0.5)], share=4.0)
+    server.calls.base.add(0.0, 40.0)
+    server.stages[0].away = 40.0
+    server.stages[0].learnt_at = 0.0
+    assert server.calls.free(0.0)
+    server.fleet(1.0, 0.0, False, 1.0)  # dead
+    assert not server.calls.free(0.0)
+    send(server, 10.0, 1, 0)
+    assert [act for act in host.acts if act[0] == "reject"]
+    server.fleet(10.0, 1.0, True, 3.0)  # slow: 400 ms a call, and all turn away
+    assert server.calls.slow == 400.0 and server.calls.free(0.0) and server.calls.bound() == 4.0
+    server.fleet(30.0, 1.0, True, 3.0)
+    host.acts.clear()
+    send(server, 20.0, 2, 0)
+    (rejected,) = [act for act in host.acts if act[0] == "reject"]
+    assert rejected[2] is True  # walking on is useless
+    server.fleet(1.0, 1.0, False, 1.0)
+    host.acts.clear()
+    send(server, 30.0, 3, 0)
+    assert not [act for act in host.acts if act[0] == "reject"]
+    short = [server.advice.pause(10.0) for _ in range(50)]
+    server.advice.stretch = 3.0
+    long = [server.advice.pause(10.0) for _ in range(50)]
+    assert 2.0 < sum(long) / sum(short) < 4.0
--- a/vetchford/declared/reading.py
+++ b/vetchford/declared/reading.py
@@ -101,6 +101,14 @@
         path = "agent.peers.name"
         text = f"found '{peers.name}', which agents does not name; allowed: {', '.join(sorted(peers.agents))}"
         raise DeclaredError([Problem(placed(top, path, file), path, text)])
+    together = declared.together
+    if together is not None:
+        for path, names in (("together.name", [together.name]), ("together.keepers", together.keepers)):
+            for name in names:
+                if name not in together.servers or names.count(name) > 1:
+                    why = "twice" if name in together.servers else "which servers does not name"
+                    text = f"found '{name}', {why}; allowed: {', '.join(sorted(together.servers))}, each once"
+                    raise DeclaredError([Problem(placed(top, path, file), path, text)])
     if isinstance(declared.pools, str):
         return
     problems, owner = [], {}
--- a/vetchford/declared/records.py
+++ b/vetchford/declared/records.py
@@ -62,10 +62,26 @@
     peers: Peers | None = None
 
 
+class Together(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """As #Together of the schema."""
+
+    fleet: Annotated[str, Meta(min_length=1, max_length=64)]
+    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    listen: Address
+    servers: Annotated[dict[str, Address], Meta(min_length=1, max_length=1000)]
+    keepers: Annotated[list[str], Meta(min_length=1, max_length=7)]
+    zone: str
+    probes: Annotated[int, Meta(ge=1, le=16)]
+    turns: Annotated[dict[str, Annotated[int, Meta(ge=1, le=1000)]], Meta(max_length=31)]
+    records: bool
+    full: bool
+
+
 class Declared(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     version: Literal[1]
     pools: Literal["none", "derived"] | Annotated[dict[str, Pool], Meta(max_length=16)]
     agent: Agent | None = None
+    together: Together | None = None
 
 
 def typed(plain: object) -> Declared:
--- a/vetchford/lifecycle/server.py
+++ b/vetchford/lifecycle/server.py
@@ -3,7 +3,7 @@
 import gc
 import signal
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 from typing import Any
 
@@ -57,11 +57,16 @@
     except OSError as problem:
         log.error("cannot_listen", address=told["listen"], problem=problem.strerror)
         return 1
+    try:
+        neighbours = neighbours_from(told, module, counts)
+    except OSError as problem:
+        log.error("cannot_listen", address=told["declared"]["together"]["listen"], problem=problem.strerror)
+        return 1
     stopped = threading.Event()
     module.attach(pool, records, members, doors, stopped.set)
     gc.collect()
     gc.freeze()
-    for part in (module, members, pool, doors):
+    for part in (module, members, pool, doors, *neighbours):
         part.begin()
     log.info("serving", name=told["name"], listen=":".join(map(str, doors.sock.getsockname())))
     moves = {
@@ -70,7 +75,7 @@
         "members": partial(members.tell, members.move),
     }
     while (caught := signal.sigwait(SIGNALS)) == signal.SIGHUP:
-        told = renew(told, reread, moves)
+        told = renew(told, reread, moves, neighbours)
     log.info("signal", number=int(caught))
     grace = (told["settings"].get("rules") or {}).get("drainGrace") or 0
     module.tell(module.notice, float(told["stop_ms"]), grace / startup.NS_PER_MS)
@@ -88,8 +93,27 @@
     return partial(marks.pools, told["settings"], declared["pools"], counts)
 
 
+def neighbours_from(told: dict[str, Any], module: ModuleActor, counts: Counts) -> list[Any]:
+    """The actor that speaks to the other servers; none where they are not told of."""
+    together = (told.get("declared") or {}).get("together")
+    if not together:
+        return []
+    from vetchford.neighbours import actor  # a server alone does without it
+
+    module.watch = actor.measure()
+    return [
+        actor.Neighbours(
+            together, configuration.seed(told), counts, partial(module.tell, module.survey),
+            partial(module.tell, module.fleet),
+        )
+    ]  # fmt: skip
+
+
 def renew(
-    told: dict[str, Any], reread: Callable[[], dict[str, Any]], moves: dict[str, Callable[..., None]]
+    told: dict[str, Any],
+    reread: Callable[[], dict[str, Any]],
+    moves: dict[str, Callable[..., None]],
+    neighbours: Sequence[Any] = (),
 ) -> dict[str, Any]:
     """Goes over to the addresses of the file as it is now; one that is wrong leaves all as it was."""
     try:
@@ -100,6 +124,9 @@
     moved = [key for key in MOVABLE if fresh[key] != told[key]]
     for key in moved:
         moves[key](configuration.address(fresh, key))
+    together = (fresh.get("declared") or {}).get("together")
+    for part in neighbours if together else ():
+        part.tell(part.allow, together)
     kept = [key for key in FIXED if fresh.get(key) != told.get(key)]
     log.info("configuration_renewed", moved=",".join(moved), not_changed=",".join(kept))
     return {**told, "stop_ms": fresh["stop_ms"], **{key: fresh[key] for key in MOVABLE}}
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -56,6 +56,7 @@
         self.running_then = 0  # the module's runs when the gauges were read
         self.idle_for = math.inf
         self.stopped = False
+        self.watch: Any = None  # measures for the fleet, where neighbours are told of
 
     def attach(self, pool: Any, records: Any, members: Any, doors: Any, stopped: Callable[[], None]) -> None:
         self.pool, self.records, self.members, self.doors = pool, records, members, doors
@@ -222,6 +223,8 @@
         slot, took = self.tasks[q], self.now() - self.begun.pop(number)
         slot.call = 0
         self.counts.add("calls_" + code)
+        if self.watch is not None:
+            self.watch.call_ended(self.now(), code, took)
         if code == "completed":
             self.command(slot, poollines.supply(slot.name, reply))
         self.node.call_returned(self.now(), q, code, took)
@@ -293,6 +296,23 @@
                 self.counts.note("must_hold_broken", what="answered_in_time", task=slot.name)
                 self.answer(slot, jsonrpc.abandoned(slot.rpc_id), "abandoned")
 
+    # -- the fleet
+
+    def survey(self, tell: Callable[[dict[str, float]], None]) -> None:
+        """Figures for the others; see `neighbours.measure`."""
+        node = self.node
+        if node is None or self.watch is None:
+            return
+        usual = node.calls.base.value if node.calls is not None else 0.0
+        counters = node.counters
+        counts = self.counts.by_name.copy()
+        begun = self.begun.values()
+        tell(self.watch.figures(self.now(), begun, usual, counts, counters.used, counters.memory))
+
+    def fleet(self, numbers: Any) -> None:
+        if self.node is not None:
+            self.node.fleet(numbers.pace, numbers.room, numbers.full, numbers.stretch)
+
     # -- drain
 
     def notice(self, stop_ms: float, grace: float) -> None:
--- /dev/null
+++ b/vetchford/neighbours/actor.py
@@ -0,0 +1,239 @@
+"""A server's place among the servers of its fleet, on sockets: a view, signals, turns, and what follows
+for it.
+
+One thread; datagrams alone. The module is asked for figures and told plain numbers, and never waits.
+Without a
+neighbour in sight the numbers are those of a server alone.
+"""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from vetchford.actors.actor import Actor
+from vetchford.actors.clock import clock
+from vetchford.actors.counts import Counts
+from vetchford.fleet.membership import ALIVE, DEAD, SUSPECT, Membership, News
+from vetchford.neighbours.measure import Measure
+from vetchford.peers.talk import Talk
+from vetchford.signals.conclude import DEAD_NOW, FIGURES, PROBE, Conclusions, Numbers
+from vetchford.signals.decide import Row, Signals
+from vetchford.subsets.decide import View
+from vetchford.turns.decide import Keeper, Taker
+
+log = structlog.get_logger()
+
+TURN = 0.05  # s between two looks at what is due
+CHANGED = 0.5  # of the share of calls lost: a service that went or came, told at once
+CONCLUDES = 200.0  # ms between two surveys of the module: a tenth of the window that it measures over
+RINGS = 3  # whom we tell in turn: the next in so many rings of all names
+DENIALS = 1 << 20  # incarnations within one life, as in fleet/joined.py
+DISPUTED = 5  # lives begun in a minute because others knew a later one: then two servers have this name
+SUMMARY = 10_000.0  # ms between two lines on what is seen
+
+
+class Neighbours(Actor):
+    """Begun by `begin`, after `module` has been; `figures` and `say` are told on its thread."""
+
+    def __init__(
+        self,
+        told: dict[str, Any],
+        seed: int,
+        counts: Counts,
+        survey: Callable[[Any], None],
+        say: Callable[[Numbers], None],
+    ) -> None:
+        """`told`: the record `together` of the settings; `survey` is given what to call with the figures,
+        `say` what
+        holds from now on. OSError where the address can't be had.
+        """
+        super().__init__("neighbours", counts)
+        self.told, self.name, self.survey, self.say = told, told["name"], survey, say
+        self.life, self.nonce = int(clock.day() * 1000.0), time.time_ns() & (1 << 62) - 1
+        servers: dict[str, str] = told["servers"]
+        self.talk = Talk(
+            self,
+            self,
+            counts,
+            told["fleet"],
+            self.name,
+            told["listen"],
+            servers,
+            seed,
+            self.life,
+            self.nonce,
+            streams=False,
+        )
+        now = self.now()
+        self.views = Membership(self, self.name, servers, seed, self.life * DENIALS, listed=True, now=now)
+        self.signals = Signals(self, self.name, self.life, FIGURES, seed)
+        self.conclusions = Conclusions(self, self.name, seed, self.signals)
+        keepers, turns = told["keepers"], {**told["turns"], PROBE: told["probes"]}
+        epoch = int(clock.day() * 10.0)
+        self.keeper = (
+            Keeper(self, self.name, keepers, turns, seed, epoch, now) if self.name in keepers else None
+        )
+        self.taker = Taker(self, self.name, keepers, told["zone"], self.life)
+        self.seed, self.raised = told["fleet"], []
+        self.next_turn, self.next_survey, self.next_summary = 0.0, 0.0, now + SUMMARY
+        self.numbers, self.lost = Numbers(), 0.0
+        self.seen_changed()
+
+    def begin(self) -> None:
+        super().begin()
+        self.talk.begin()
+
+    def now(self) -> float:
+        return clock.now()
+
+    def patience(self) -> float | None:
+        return max(0.0, self.next_turn - time.monotonic())
+
+    def idle(self) -> None:
+        if time.monotonic() < self.next_turn:
+            return
+        self.next_turn = time.monotonic() + TURN
+        now = self.now()
+        self.views.woke(now)
+        if self.keeper is not None:
+            self.keeper.woke(now)
+        self.taker.woke(now)
+        self.signals.woke(now)
+        if now >= self.next_survey:
+            self.next_survey = now + (CONCLUDES if self.conclusions.state != DEAD_NOW else 0.5 * CONCLUDES)
+            self.survey(self.measured)
+        if now >= self.next_summary:
+            self.next_summary = now + SUMMARY
+            self.summarise(now)
+
+    # -- what the module tells, on its thread; and what it is told
+
+    def measured(self, figures: dict[str, float]) -> None:
+        self.tell(self.conclude, figures)
+
+    def conclude(self, figures: dict[str, float]) -> None:
+        now = self.now()
+        lost, self.lost = self.lost, figures.get("lost", self.lost)
+        self.signals.measured(now, figures)
+        if abs(self.lost - lost) >= CHANGED:
+            self.signals.news(now)
+        numbers = self.conclusions.turn(now)
+        pace, room = (numbers.pace, numbers.room) if self.told["records"] else (1.0, 1.0)
+        full, stretch = (numbers.full, numbers.stretch) if self.told["full"] else (False, 1.0)
+        numbers = Numbers(pace, room, full, stretch)
+        if numbers != self.numbers:
+            self.numbers = numbers
+            self.say(numbers)
+
+    def allow(self, told: dict[str, Any]) -> None:
+        """What may be acted on, by settings that were read anew."""
+        self.told = {**self.told, "records": told["records"], "full": told["full"]}
+        log.info("together_renewed", records=told["records"], full=told["full"])
+
+    def summarise(self, now: float) -> None:
+        seen: dict[str, Any] = {}
+        for figure in FIGURES:
+            aggregate = self.signals.aggregate(now, figure.name)
+            if aggregate is not None:
+                seen[figure.name] = round(aggregate.value, 3)
+                seen[figure.name + "_rows"] = aggregate.rows
+        there = sum(member.state == ALIVE for member in self.views.members.values())
+        log.info(
+            "together",
+            there=there,
+            records=self.conclusions.state,
+            **seen,
+            room=round(self.numbers.room, 3),
+            bytes_sent=self.talk.bytes_out,
+            datagrams_sent=self.talk.datagrams_out,
+        )
+
+    # -- hosts of the view, the signals, the turns and the conclusions
+
+    def send(self, to: str, kind: str, number: int, about: str, news: list[News]) -> None:
+        self.talk.throw(to, ["view", kind, number, about, news])
+
+    def seen(self, name: str, state: str) -> None:
+        if state != SUSPECT:
+            log.info("neighbour_seen", neighbour=name, there=state == ALIVE)
+        self.seen_changed()
+
+    def seen_changed(self) -> None:
+        there = [name for name, member in self.views.members.items() if member.state != DEAD]
+        ring = View([*there, self.name], self.seed).listens(RINGS)[self.name]
+        self.signals.there(there, ring)
+
+    def send_rows(self, to: str, rows: list[Row]) -> None:
+        self.talk.throw(to, ["rows", rows])
+
+    def turn_word(self, to: str, body: dict[str, Any]) -> None:
+        if to == self.name:
+            self.tell(self.turn_heard, to, body)
+        else:
+            self.talk.throw(to, ["turn", body])
+
+    def turn_heard(self, sender: str, body: dict[str, Any]) -> None:
+        if body["do"] in ("yours", "wait", "led_by", "over"):
+            self.taker.heard(self.now(), sender, body)
+        elif self.keeper is not None:
+            self.keeper.heard(self.now(), sender, body)
+
+    def want_probe(self) -> None:
+        self.taker.want(self.now(), PROBE)
+
+    def done_probe(self) -> None:
+        self.taker.done(self.now(), PROBE)
+
+    def may_probe(self) -> bool:
+        return self.taker.holds(self.now(), PROBE) != 0
+
+    def note(self, event: str, **fields: Any) -> None:
+        self.counts.add(event)
+        log.info(event, **fields)
+
+    # -- what `talk` brings
+
+    def datagram(self, peer: str, body: Any) -> None:
+        try:
+            kind, *rest = body
+            if kind == "view":
+                word, number, about, news = rest
+                pieces = [(str(name), str(state), int(at)) for name, state, at in news]
+                self.views.heard(self.now(), peer, str(word), int(number), str(about), pieces)
+            elif kind == "rows":
+                self.signals.heard(self.now(), peer, rest[0])
+            elif kind == "turn":
+                self.turn_heard(peer, rest[0])
+        except (KeyError, TypeError, ValueError, IndexError, AttributeError) as problem:
+            self.counts.note("peer_malformed", peer=peer, kind="datagram", problem=str(problem))
+
+    def word(self, peer: str, kind: str, body: Any) -> None:
+        """Nobody has a stream to us."""
+
+    def linked(self, peer: str, state: str) -> None: ...
+
+    def met(self, peer: str, life: int, nonce: int) -> None: ...
+
+    def outlived(self, life: int, nonce: int) -> None:
+        """Somebody knows a later life of our name: the day's clock went back, or the name is used twice."""
+        now = self.now()
+        self.raised = [at for at in self.raised if now - at < 60_000.0]
+        if len(self.raised) >= DISPUTED:
+            self.counts.note("name_disputed", name=self.name)
+            return
+        self.raised.append(now)
+        self.life, self.nonce = max(life, self.life) + 1, time.time_ns() & (1 << 62) - 1
+        log.warning("life_raised", life=self.life, known=life)
+        self.views.incarnation = self.life * DENIALS
+        self.views.news[self.name] = 0
+        self.signals.life = self.taker.life = self.life
+        for turn in list(self.taker.wishes):
+            self.taker.wishes.pop(turn)  # asked for under another life
+            self.taker.want(now, turn)
+        self.talk.renew(self.life, self.nonce)
+
+
+def measure() -> Measure:
+    return Measure()
--- a/vetchford/peers/decide.py
+++ b/vetchford/peers/decide.py
@@ -56,6 +56,9 @@
     def outlived(self, life: int, nonce: int) -> None:
         """Somebody knows a life of our name that is not ours and not earlier: our store is old, or a twin."""
 
+    def tell_life(self, peer: str, life: int, nonce: int) -> None:
+        """By a datagram: the life that we know of its name; see `compare`."""
+
     def count(self, name: str, **fields: Any) -> None: ...
 
 
@@ -155,10 +158,13 @@
         seed: int,
         life: int,
         nonce: int,
+        streams: bool = True,
     ) -> None:
-        """`addresses`: host of each listed peer by name; nobody else is heard."""
+        """`addresses`: host of each listed peer by name; nobody else is heard. Without `streams` none is
+        called, and lives are told by datagrams.
+        """
         self.host, self.fleet, self.name, self.seed, self.draws = host, fleet, name, seed, 0
-        self.life, self.nonce = life, nonce
+        self.life, self.nonce, self.streams = life, nonce, streams
         self.peers = {peer: Peer(address) for peer, address in addresses.items() if peer != name}
         self.links: dict[int, Link] = {}  # emptied as connections end
         self.numbers, self.sequence, self.woken = 0, 0, 0.0
@@ -168,7 +174,7 @@
         return zlib.crc32(b"%d:%s:%d" % (self.seed, self.name.encode(), self.draws)) % count
 
     def calls(self, peer: str) -> bool:
-        return self.name < peer
+        return self.streams and self.name < peer
 
     # -- time
 
@@ -377,6 +383,10 @@
         if late:
             name = "peer_of_another_life" if old else "peer_out_of_sequence"
             self.host.count(name, why=late, peer=envelope.sender)
+        peer = self.peers[envelope.sender]
+        if old and not self.streams and now >= peer.again_at:
+            peer.again_at = now + BACK_OFF  # it hears what is known of its name
+            self.host.tell_life(envelope.sender, peer.life, peer.nonce)
         return not late
 
     # -- what is told
--- a/vetchford/peers/talk.py
+++ b/vetchford/peers/talk.py
@@ -81,12 +81,20 @@
         seed: int,
         life: int,
         nonce: int,
+        streams: bool = True,
     ) -> None:
         """`addresses`: where each peer is to be found from here. OSError where `listen` can't be had."""
         self.actor, self.owner, self.counts = actor, owner, counts
         self.addresses = {peer: split(address) for peer, address in addresses.items() if peer != name}
         self.decide = Peers(
-            self, fleet, name, {peer: host for peer, (host, _) in self.addresses.items()}, seed, life, nonce
+            self,
+            fleet,
+            name,
+            {peer: host for peer, (host, _) in self.addresses.items()},
+            seed,
+            life,
+            nonce,
+            streams,
         )
         self.wires: dict[int, Wire] = {}  # emptied as connections end
         self.bytes_out = self.datagrams_out = 0
@@ -118,10 +126,10 @@
     def post(self, peer: str, kind: str, body: Any) -> bool:
         return self.decide.post(self.now(), peer, kind, body)
 
-    def throw(self, peer: str, body: Any) -> None:
+    def throw(self, peer: str, body: Any, kind: str = "news") -> None:
         """A datagram; it may be lost."""
         try:
-            data = frames.packed(self.envelope(self.decide.next_datagram(), "news", body))
+            data = frames.packed(self.envelope(self.decide.next_datagram(), kind, body))
             if len(data) > frames.MOST_DATAGRAM:
                 self.counts.note("datagram_too_long", bytes=len(data))
                 return
@@ -180,6 +188,9 @@
     def outlived(self, life: int, nonce: int) -> None:
         self.owner.outlived(life, nonce)
 
+    def tell_life(self, peer: str, life: int, nonce: int) -> None:
+        self.throw(peer, [life, nonce], "life")
+
     def count(self, name: str, **fields: Any) -> None:
         """By its reason, which are few: a crowd of one kind must not hide another."""
         why = fields.get("why", "")
@@ -216,7 +227,13 @@
         self.decide.heard(self.now(), link, envelope)
 
     def thrown(self, address: str, envelope: Envelope) -> None:
-        if self.decide.datagram(self.now(), address, envelope):
+        if not self.decide.datagram(self.now(), address, envelope):
+            return
+        if envelope.kind == "life":
+            with contextlib.suppress(TypeError, ValueError):  # malformed: as if it were lost
+                life, nonce = envelope.body
+                self.decide.compare(int(life), int(nonce))
+        else:
             self.owner.datagram(envelope.sender, envelope.body)
 
     # -- threads
--- a/vetchford/rules.py
+++ b/vetchford/rules.py
@@ -133,6 +133,7 @@
     def __init__(self, share: float | None, over: float, linger: float, cores: int) -> None:
         self.share = 2.0 * cores if share is None else share  # none told: two sets of runs may wait on calls
         self.over, self.linger, self.rest_until = over, linger, 0.0
+        self.room, self.slow = 1.0, 0.0  # as the fleet tells: part of the slice; ms of a call at least
         self.longest = 0.5 * self.share * over if self.share < 1.0 else math.inf  # a hung one: half of it
         self.gradient = GradientLimit(1.0, max(1.0, self.share))
         self.base, self.in_hand = LongMean(16), 0  # calls differ little, and a slow spell may come early
@@ -140,10 +141,13 @@
 
     def free(self, now: float) -> bool:
         self.lingering = [end for end in self.lingering if end > now]
-        return now >= self.rest_until and self.in_hand + len(self.lingering) + 1 <= self.bound()
+        return self.room > 0.0 and now >= self.rest_until and self.out() + 1 <= self.bound()
+
+    def out(self) -> int:
+        return self.in_hand + len(self.lingering)
 
     def bound(self) -> float:
-        return max(1.0, min(self.share, self.gradient.limit))
+        return max(1.0, min(self.share * self.room, self.gradient.limit))
 
     def ended(self, now: float, took: float | None) -> None:
         self.in_hand -= 1
@@ -207,11 +211,12 @@
         self.read = self.further = self.rejected = 0.0  # of about a second; further tries among the read
         self.visits, self.sweeps, self.shut, self.wasted = 0.0, 0, 0.0, 0.0  # wasted: of the cores
         self.open, self.said, self.asked, self.counter = 1.0, -1.0, 0.0, 0  # traffic wanted; told; draws
+        self.full, self.stretch = False, 1.0  # as the fleet tells: all refuse; times to stay away for longer
 
     def pause(self, wanted: float) -> float:
         self.counter += 1  # spread over half its length, so that callers do not come back in step
         chance = zlib.crc32(b"%d:%d" % (self.seed, self.counter)) / 2**32
-        told = min(self.longest, wanted) * (0.5 + 0.5 * chance)
+        told = min(self.longest, wanted * self.stretch) * (0.5 + 0.5 * chance)
         self.asked += 0.05 * (told - self.asked)
         return told
 
@@ -305,6 +310,13 @@
                 self.host.remember(q, keep_for)
             self._fill(now)
 
+    def fleet(self, pace: float, room: float, full: bool, stretch: float) -> None:
+        """What many servers see: how much longer calls take, part of the slice to use, fullness."""
+        self.advice.full, self.advice.stretch = full, stretch
+        if self.calls:
+            self.calls.room, usual = room, self.calls.base.value
+            self.calls.slow = math.inf if room == 0.0 else usual * pace if pace > 1.0 else 0.0
+
     def leaving(self, now: float, kill: float) -> None:
         self.notice, self.kill = now, kill - 20.0  # ms: several rounds of events to spare before the kill
         self._judge_fitness()
@@ -473,8 +485,8 @@
 
     def _over_line(self, task: Task) -> bool:
         if self.pools is not None:
-            return self.pools.skips(task.pool, self.waiting.values())
-        return len(self.waiting) > self.calls.bound()
+            return self.calls.room == 0.0 or self.pools.skips(task.pool, self.waiting.values())
+        return len(self.waiting) > self.calls.bound() or self.calls.room == 0.0
 
     def _fill(self, now: float) -> None:
         shut: set[int] = set()  # pools whose next task has no room
@@ -554,7 +566,7 @@
                 pause = self.advice.pause(backlog / max(1.0, self.limit.limit))
         # A further try that is rejected again has found two servers full: more only spread the overload, and
         # so would all others where a quarter of what comes was turned away elsewhere.
-        terminal |= task.again or self.advice.further > 0.25 * self.advice.read
+        terminal |= task.again or self.advice.full or self.advice.further > 0.25 * self.advice.read
         self.host.reject(task.q, terminal, pause)
         self._leave(task)
 
@@ -626,6 +638,10 @@
         away = task.stage.away
         if self.pools is not None:
             away = self.pools.away(now, task.pool, self._lined(task.pool))
+        if self.calls and self.calls.slow and task.stage.away and not task.stage.skip_utility:
+            if self.calls.slow == math.inf:
+                return False
+            away = max(away, self.calls.slow)
         # What no run has told of for five seconds is let in to learn: a gate shut on a stage would stay shut.
         if now - task.stage.learnt_at > 5000.0:
             return now < task.due
--- a/vetchford/turns/decide.py
+++ b/vetchford/turns/decide.py
@@ -400,6 +400,8 @@
 
     def done(self, now: float, turn: str) -> None:
         wish = self.wishes.pop(turn, None)
+        if wish is not None and wish.fence:
+            self.host.note("turn_given", turn=turn, fence=wish.fence)
         if wish is not None and wish.at:
             self.host.turn_word(wish.at, self.ended(turn, wish.fence, wish.number))
 
