--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -4,13 +4,11 @@
 Usage: python -m benchmarks.together [--quick] [--seeds N]
 
 1. Processes: eight servers a side before one ledger a side, at once and under the same load. The ledger
-   slows to a
-   tenth, then answers nothing, then is back. Between the servers that speak to each other links lose, are
-   cut, slow
-   and torn by a seeded script meanwhile.
-2. Virtual time: error, age and bytes of the signals by number of servers at 0, 5 and 20 % loss, with
-   liars; turns
-   under schedules of faults, with the holders counted by a checker, and planted mistakes that must be found.
+   slows to a tenth, then answers nothing, then is back. Between the servers that speak to each other links
+   lose, are cut, slow and torn by a seeded script meanwhile.
+2. Virtual time: error, age and bytes of the signals by number of servers at 0, 5 and 20 % loss, with liars;
+   turns under schedules of faults, with the holders counted by a checker, and planted mistakes that must be
+   found.
 
 Scaled down: one machine, all on loopback; a pool's cores are by time; 45 tasks a second a server.
 """
--- a/standins/several.py
+++ b/standins/several.py
@@ -1,5 +1,6 @@
-"""Several servers of one fleet in processes of their own, with links between them that break and one
-ledger below."""
+"""Several servers of one fleet in processes of their own, with links between them that break and one ledger
+below.
+"""
 
 import json
 import os
@@ -32,7 +33,8 @@
 
 class Several:
     """`together`: whether they speak to each other; keys of the record `together` beside names and
-    addresses."""
+    addresses.
+    """
 
     def __init__(
         self,
--- a/standins/turning.py
+++ b/standins/turning.py
@@ -1,5 +1,6 @@
 """Turns in virtual time: keepers and takers under faults, a checker that knows nothing of them, planted
-mistakes."""
+mistakes.
+"""
 
 from typing import Any
 
@@ -12,7 +13,8 @@
 
 class Program:
     """One server: its part in keeping, and one that takes turns for half a second to three, by the world's
-    chance."""
+    chance.
+    """
 
     keeper, taker = Keeper, Taker
 
@@ -146,8 +148,8 @@
 
     def usurped(self) -> None:
         """One keeper hears the leader no more and stands; where another is chosen, the old one is cut off
-        just then,
-        with those whom it gave permits to."""
+        just then, with those whom it gave permits to.
+        """
         world, end = self.world, self.world.now + 30_000.0
         keeps = {name: world.programs[name].keeps for name in KEEPERS}
         leader = next((name for name in KEEPERS if keeps[name].leads(world.clock(name))), None)
--- a/standins/world.py
+++ b/standins/world.py
@@ -1,10 +1,8 @@
 """Programs in virtual time: a network that loses, delays, doubles and splits, clocks that go wrong,
-processes that
-freeze, die and begin anew. One seed is one run.
+processes that freeze, die and begin anew. One seed is one run.
 
 A program is an object with `woke(now)` and `heard(now, sender, word)`, made by `make(port)`; it sends by
-`port.send`.
-Its `now` is its own clock's.
+`port.send`. Its `now` is its own clock's.
 """
 
 import heapq
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -272,7 +272,7 @@
     assert not side.dialled
     assert side.peers.datagram(1000.0, "10.0.0.1", Envelope("pay", "b", 9, 4, 1, "news", None))
     for at in range(10):  # its clock went back, or its name is used twice
-        assert not side.peers.datagram(1000.0 + at, "10.0.0.1", Envelope("pay", "b", 8, 5, 2 + at, "news", None))
+        assert not side.peers.datagram(1000.0 + at, "10.0.0.1", Envelope("pay", "b", 8, 5, at + 2, "news", 0))
     assert told == [("b", 9, 4)]
     assert not side.peers.datagram(1300.0, "10.0.0.1", Envelope("pay", "b", 8, 5, 20, "news", None))
     assert len(told) == 2
--- a/vetchford/neighbours/actor.py
+++ b/vetchford/neighbours/actor.py
@@ -1,9 +1,8 @@
-"""A server's place among the servers of its fleet, on sockets: a view, signals, turns, and what follows
-for it.
+"""A server's place among the servers of its fleet, on sockets: a view, signals, turns, and what follows for
+it.
 
 One thread; datagrams alone. The module is asked for figures and told plain numbers, and never waits.
-Without a
-neighbour in sight the numbers are those of a server alone.
+Without a neighbour in sight the numbers are those of a server alone.
 """
 
 import time
@@ -46,8 +45,7 @@
         say: Callable[[Numbers], None],
     ) -> None:
         """`told`: the record `together` of the settings; `survey` is given what to call with the figures,
-        `say` what
-        holds from now on. OSError where the address can't be had.
+        `say` what holds from now on. OSError where the address can't be had.
         """
         super().__init__("neighbours", counts)
         self.told, self.name, self.survey, self.say = told, told["name"], survey, say
--- a/vetchford/signals/conclude.py
+++ b/vetchford/signals/conclude.py
@@ -3,15 +3,13 @@
 The records service has four states here, each with the evidence that leads out of it:
 
     well     -> slow     the fleet's calls take SLOW times their usual time
-    any      -> dead     the fleet loses nearly all calls, and nobody was answered for NO_WORD; only who
-    holds a turn
-                         to probe calls then
+    any      -> dead     the fleet loses nearly all calls, and nobody was answered for NO_WORD;
+                         only who holds a turn to probe calls then
     dead     -> opening  a call of somebody's was answered since it was held for dead
     opening  -> well     after a ramp that begins apart on each server, so that it is not met by all at once
 
 A server that has not called yet acts with the others. Where the signals say nothing it decides alone: all
-numbers
-are as if there were none.
+numbers are as if there were none.
 """
 
 import math
@@ -27,10 +25,8 @@
 SHUT_AT_LEAST = 400.0  # ms: a turn to probe is had within that where its keepers are well
 # ms without a word of anybody's probe until this server probes by itself: its own links may be cut
 ALONE = 6000.0
-APART, RAMP = (
-    2.0,
-    4.0,
-)  # ms for each server that is there: by chance until one opens, then until all its calls go;
+APART, RAMP = 2.0, 4.0
+# ms for each server that is there: by chance until one opens, then until all its calls go;
 # the slices bound what comes at once, so a few may open as they hear, 200 take a second and a half
 FULL, FULL_OVER = 0.5, 0.3  # share of tasks turned away by the fleet: over half, one in two walks in vain
 MOST_STRETCH = 4.0  # of return times
--- a/vetchford/signals/decide.py
+++ b/vetchford/signals/decide.py
@@ -1,24 +1,18 @@
-"""What each server sees, spread to all in messages of one size, and what all see together. No I/O; times
-in ms.
+"""What each server sees, spread to all in messages of one size, and what all see together. No I/O; times in
+ms.
 
 A server's figures are one row under its name, life and sequence. Each period it sends its own row and some
-that
-it heard of to two others; a row that comes late, doubled or after its origin has left does no harm, as the
-newest
-of an origin stands and every row grows old. No clocks are compared: a row carries its age, and each holder
-adds
-the time that it held it.
+that it heard of to two others; a row that comes late, doubled or after its origin has left does no harm, as
+the newest of an origin stands and every row grows old. No clocks are compared: a row carries its age, and
+each holder adds the time that it held it.
 
 The table is bounded, so in a large fleet a server sees a sample of it; a message has the same size in any
-fleet.
-An aggregate is a mean without the highest and the lowest sixth of the rows: one row an origin, so liars fewer
-than that can move it within what honest servers see and no further. Where too few rows are young it is
-nothing,
-and nothing means: decide alone.
+fleet. An aggregate is a mean without the highest and the lowest sixth of the rows: one row an origin, so
+liars fewer than that can move it within what honest servers see and no further. Where too few rows are
+young it is nothing, and nothing means: decide alone.
 
 Weighed (docs/design/together.md): push-sum, whose sums a lost message spoils; sketches of all origins,
-whose bytes
-grow with the fleet; extrema, which one liar owns.
+whose bytes grow with the fleet; extrema, which one liar owns.
 """
 
 import math
@@ -112,7 +106,8 @@
 
     def news(self, now: float) -> None:
         """Our own row to many at once, where what it says can't wait: rarely, and not to all of a large
-        fleet."""
+        fleet.
+        """
         most = min(MOST_TOLD, len(self.others))
         start = self.draw(len(self.others)) if self.others else 0
         for n in range(most):
--- a/vetchford/turns/decide.py
+++ b/vetchford/turns/decide.py
@@ -1,25 +1,23 @@
-"""At most k of many programs do a thing at once: permits by lease from one keeper that leads. No I/O;
-times in ms.
+"""At most k of many programs do a thing at once: permits by lease from one keeper that leads. No I/O; times
+in ms.
 
-Three to seven keepers choose one among them by lease (Gray and Cheriton, 1989). The one that leads holds the
-permits in memory, nothing is on disk, and what it forgets by its end has run out before another may grant:
+Three to seven keepers choose one among them by lease (Gray and Cheriton, 1989). The one that leads holds
+the permits in memory, nothing is on disk, and what it forgets by its end has run out before another may
+grant:
 
-1. A keeper that promised its vote to one leader gives it to no other for LEASE * SLOPE by its own clock; the
-   leader counts LEASE from when it asked. A keeper that just started gives none for as long, as it may have
-   promised one before.
+1. A keeper that promised its vote to one leader gives it to no other for LEASE * SLOPE by its own clock;
+   the leader counts LEASE from when it asked. A keeper that just started gives none for as long, as it may
+   have promised one before.
 2. A new leader grants nothing for PERMIT * SLOPE: by then each permit of the one before has run out, or its
    holder has shown it to the new one and was taken over.
-3. A holder counts PERMIT from when it asked, and looks at its own clock before each act: one that was stopped
-   knows that its turn is over.
-4. A renewal names the term under which it is asked for, so it was sent after that leader was chosen, by
-   one that
-   held its permit then. One that was under way since before is refused, and says who leads now.
+3. A holder counts PERMIT from when it asked, and looks at its own clock before each act: one that was
+   stopped knows that its turn is over.
+4. A renewal names the term under which it is asked for, so it was sent after that leader was chosen, by one
+   that held its permit then. One that was under way since before is refused, and says who leads now.
 
 What is trusted of clocks: of two of them none runs faster than the other by more than SLOPE. Their offsets
-don't
-matter. A resource that can compare numbers needs not even that: each permit names a slot below k, and the
-fences
-of one slot only grow. After an end of all keepers at once fences grow on from the time of day.
+don't matter. A resource that can compare numbers needs not even that: each permit names a slot below k, and
+the fences of one slot only grow. After an end of all keepers at once fences grow on from the time of day.
 """
 
 import zlib
@@ -32,10 +30,7 @@
 SLOPE = 1.25  # of two clocks' rates: two that are a tenth wrong, one each way, make 1.22
 BEAT = 600.0  # ms: five renewals fit into a lease, so three may be lost
 ASKS = 400.0  # ms until a question that was not answered is asked anew
-PATIENCE, SPREAD = (
-    300.0,
-    1500.0,
-)  # ms past the last vote until a keeper stands, and the chance that parts them
+PATIENCE, SPREAD = 300.0, 1500.0  # ms past the last vote until a keeper stands, and what parts them
 FORGOTTEN = 2500.0  # ms that one who waits is kept unheard: four of its askings
 BY_TERM = 64  # term = round * BY_TERM + place of the keeper: no two ever have one
 MOST_WAITING = 1000  # in one line; the platform's fleets are a fifth of it
@@ -97,9 +92,9 @@
         epoch: int,
         now: float,
     ) -> None:
-        """`turns`: how many may at once, by name; `epoch`: tenths of a second of the day's clock, for
-        terms to
-        begin at: keepers stand less often than that."""
+        """`turns`: how many may at once, by name; `epoch`: tenths of a second of the day's clock, for terms
+        to begin at: keepers stand less often than that.
+        """
         self.host, self.name, self.seed, self.draws = host, name, seed, 0
         self.keepers, self.turns = sorted(keepers), dict(turns)
         self.highest = epoch * BY_TERM  # term that was heard of
