--- a/vetchford/lifecycle/server.py
+++ b/vetchford/lifecycle/server.py
@@ -23,6 +23,7 @@
 STACK = 256 * 1024  # bytes a thread; no call here nests deeply, and untouched pages cost nothing
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 OTHERS = 8  # descriptors for listening, waiting, the pool's link, reports and the standard three
+FOR_NEIGHBOURS = 4  # descriptors: datagrams, a door that takes nobody in, one that knocks there, one spare
 MOST_CALLS = 56  # descriptors for calls: three times the calls that a server of twelve cores may have out
 MOVABLE = ("pool", "records", "members")  # keys of addresses that a running server can go over to
 # Keys that it can't change; they wait for the next start.
@@ -45,10 +46,15 @@
     records = Records(configuration.address(told, "records"), for_calls, module, counts)
     members = Members(configuration.address(told, "members"), told["name"], counts)
     stages, tenants, _ = startup.indices(told["settings"])
+    try:
+        neighbours = neighbours_from(told, module, counts)
+    except OSError as problem:
+        log.error("cannot_listen", address=told["declared"]["together"]["listen"], problem=problem.strerror)
+        return 1
     try:
         doors = Doors(
             configuration.address(told, "listen"),
-            sockets - for_calls - OTHERS,
+            sockets - for_calls - OTHERS - (FOR_NEIGHBOURS if neighbours else 0),
             stages,
             tenants,
             module,
@@ -57,11 +63,6 @@
     except OSError as problem:
         log.error("cannot_listen", address=told["listen"], problem=problem.strerror)
         return 1
-    try:
-        neighbours = neighbours_from(told, module, counts)
-    except OSError as problem:
-        log.error("cannot_listen", address=told["declared"]["together"]["listen"], problem=problem.strerror)
-        return 1
     stopped = threading.Event()
     module.attach(pool, records, members, doors, stopped.set)
     gc.collect()
@@ -78,6 +79,8 @@
         told = renew(told, reread, moves, neighbours)
     log.info("signal", number=int(caught))
     grace = (told["settings"].get("rules") or {}).get("drainGrace") or 0
+    for part in neighbours:
+        part.tell(part.leave)
     module.tell(module.notice, float(told["stop_ms"]), grace / startup.NS_PER_MS)
     stopped.wait(told["stop_ms"] / 1000.0)
     log.info("stopped")
--- a/vetchford/neighbours/actor.py
+++ b/vetchford/neighbours/actor.py
@@ -130,6 +130,11 @@
         self.told = {**self.told, "records": told["records"], "full": told["full"]}
         log.info("together_renewed", records=told["records"], full=told["full"])
 
+    def leave(self) -> None:
+        """In a drain: turns go back at once, not as their leases end."""
+        for turn in list(self.taker.wishes):
+            self.taker.done(self.now(), turn)
+
     def summarise(self, now: float) -> None:
         seen: dict[str, Any] = {}
         for figure in FIGURES:
--- a/vetchford/peers/decide.py
+++ b/vetchford/peers/decide.py
@@ -230,6 +230,9 @@
         if all(peer.address != address for peer in self.peers.values()):
             self.host.count("peer_refused", why="not listed", address=address)
             return 0
+        if not self.streams:  # each would hold a descriptor that is somebody else's
+            self.host.count("peer_refused", why="datagrams alone", address=address)
+            return 0
         if sum(not link.peer for link in self.links.values()) >= MOST_LINKS * len(self.peers):
             self.host.count("peer_refused", why="crowd", address=address)
             return 0
