Neighbours: malformed lives are counted, what others provoke is logged ever rarer

Read once more as whoever is called at night: a malformed 'life' datagram vanished uncounted, and a neighbour that lets its turns run out could fill the log of the keeper that leads. Neither part is loaded by a server that declares no neighbours.

--- a/vetchford/neighbours/actor.py
+++ b/vetchford/neighbours/actor.py
@@ -30,6 +30,7 @@
 RINGS = 3  # whom we tell in turn: the next in so many rings of all names
 DENIALS = 1 << 20  # incarnations within one life, as in fleet/joined.py
 DISPUTED = 5  # lives begun in a minute because others knew a later one: then two servers have this name
+PROVOKED = frozenset(("turns_full", "turn_ran_out"))  # by what others do: logged ever more rarely
 SUMMARY = 10_000.0  # ms between two lines on what is seen
 
 
@@ -193,6 +194,9 @@
         return self.taker.holds(self.now(), PROBE) != 0
 
     def note(self, event: str, **fields: Any) -> None:
+        if event in PROVOKED:
+            self.counts.note(event, **fields)
+            return
         self.counts.add(event)
         log.info(event, **fields)
 
--- a/vetchford/peers/talk.py
+++ b/vetchford/peers/talk.py
@@ -230,9 +230,11 @@
         if not self.decide.datagram(self.now(), address, envelope):
             return
         if envelope.kind == "life":
-            with contextlib.suppress(TypeError, ValueError):  # malformed: as if it were lost
+            try:
                 life, nonce = envelope.body
                 self.decide.compare(int(life), int(nonce))
+            except (TypeError, ValueError):
+                self.count("peer_refused", why="malformed", peer=envelope.sender)
         else:
             self.owner.datagram(envelope.sender, envelope.body)
 
