Crew: its first thread stays, so that work that finds no thread to be had is done all the same

Cause (actors/actor.py, Crew.run): where the system gave no thread the job waited in the queue for "the next that has done its work"; with no thread alive there was none, and a crewed actor that counts as awake asks for no other. The pool's link has a crew of one. Forced by a start that raises (tests/crossings/test_crossed_hand_overs.py). Costs one waiting thread for each of four crews.

--- a/vetchford/actors/actor.py
+++ b/vetchford/actors/actor.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from queue import Empty, SimpleQueue
 from typing import Any
 
@@ -112,11 +113,17 @@
         with self.lock:
             self.free += 1
 
+    def begin(self) -> None:
+        """A first thread that stays: without it a job that finds none to be had might wait for good."""
+        with self.lock:
+            self.threads += 1
+        begin_thread(partial(self.serve, lambda: None, True), "crew", self.counts)
+
     def roomy(self) -> bool:
         """Whether a thread may wait a little without keeping others from theirs."""
         return self.jobs.empty() and self.threads < self.most // 2
 
-    def serve(self, act: Callable[[], None]) -> None:
+    def serve(self, act: Callable[[], None], stays: bool = False) -> None:
         while True:
             try:
                 act()
@@ -126,7 +133,7 @@
             with self.lock:
                 self.free += 1
             try:
-                act = self.jobs.get(timeout=REST)
+                act = self.jobs.get(timeout=None if stays else REST)
             except Empty:
                 with self.lock:
                     if self.jobs.empty():
--- a/vetchford/lifecycle/server.py
+++ b/vetchford/lifecycle/server.py
@@ -67,7 +67,7 @@
     module.attach(pool, records, members, doors, stopped.set)
     gc.collect()
     gc.freeze()
-    for part in (module, members, pool, doors, *neighbours):
+    for part in (module, members, pool, records, doors, *neighbours):
         part.begin()
     log.info("serving", name=told["name"], listen=":".join(map(str, doors.sock.getsockname())))
     moves = {
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -362,6 +362,8 @@
         time_limit(sock, socket.SO_RCVTIMEO, TICK)
         time_limit(sock, socket.SO_SNDTIMEO, WRITE_IN)
         connection = Connection(sock, self, self.counts)
+        self.crew.begin()
+        self.readers.begin()
         with self.lock:
             self.connections.add(connection)
         self.counts.add("connections_accepted")
--- a/vetchford/wire/pool.py
+++ b/vetchford/wire/pool.py
@@ -36,6 +36,7 @@
 
     def begin(self) -> None:
         begin_thread(self.keep_link, "pool-reader", self.counts)
+        self.crew.begin()
 
     def send(self, link: int, parts: list[bytes]) -> None:
         if link != self.out_for:
--- a/vetchford/wire/records.py
+++ b/vetchford/wire/records.py
@@ -31,7 +31,10 @@
         self.out: dict[int, Line] = {}  # by the number of their call; emptied as it ends or is given up
         self.waiting: deque[tuple[str, int, float, bytes, bool]] = deque()  # emptied as lines come free
 
-    def move(self, address: tuple[str, int]) -> None:
+    def begin(self) -> None:
+        self.crew.begin()
+
+    def move(self, address: tuple[str, int] | None) -> None:
         """New calls go there; those that are out end on the connection they went out on."""
         with self.lock:
             unused, self.free = (self.free, []) if address != self.address else ([], self.free)
