Start: no records service need be named where the settings have nothing below

Its log has one line: "key 'records' must be an address and a port". Checked: the platform names none there, and `below` is silent. Cause: configuration.check asked for the key whatever the settings say. Where they have calls below it is still asked for.

--- a/standins/serving.py
+++ b/standins/serving.py
@@ -30,10 +30,12 @@
         files=None,
         listen="127.0.0.1:0",
         given=(),
+        no_records=False,
         **told,
     ):
         self.pool, self.records = PoolPeer(cold, up), RecordsPeer(records_up)
         self.members = reports_here()
+        self.no_records = no_records  # the platform names none where nothing is below
         self.config, self.stop_ms, self.sockets, self.told = folder / "config.json", stop_ms, sockets, told
         self.write_config(listen)
         command = (*self.COMMAND[:-1], " ".join((self.COMMAND[-1], *map(shlex.quote, given))))
@@ -68,7 +70,7 @@
                     "name": "n1",
                     "listen": listen,
                     "pool": self.pool.address,
-                    "records": self.records.address,
+                    "records": None if self.no_records else self.records.address,
                     "members": f"127.0.0.1:{self.members.getsockname()[1]}",
                     "seed": "8c1f30d27a5be964",
                     "stop_ms": self.stop_ms,
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -596,3 +596,21 @@
         assert server.pool.take("spawn")[1]["job"] == "ab"
         server.pool.finish("ab")
         assert callers[-1].hear()["id"] == 1
+
+
+def test_a_server_with_nothing_below_starts_serves_moves_and_stands_a_call_that_cannot_be(tmp_path):
+    info = {**TOLD["familyInfo"], "below": "silent"}
+    with Running(tmp_path, no_records=True, familyInfo=info) as server:
+        caller = server.balancer()
+        odd, job = caller.ask(1, txn="o1", limit=900), caller.ask(2, "pay", txn="o2", unique=MARK)
+        for _ in range(2):
+            server.pool.take("spawn")
+        server.pool.block(odd)  # there is nobody to call: it ends by its limit, and nobody else with it
+        server.move()
+        server.pool.take("bind")
+        server.pool.finish(job, b"done")
+        assert content(caller.hear()) == b"done"
+        assert caller.hear()["error"]["code"] == -32051
+        server.pool.finish(odd, state="cancelled")
+        log = server.stop()
+        assert "moved=pool,members" in log and "must_hold_broken" not in log
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -278,3 +278,19 @@
     assert crew.threads == 3
     hold.set()
     assert sorted(done.get(timeout=20) for _ in range(50)) == list(range(50))
+
+
+def test_where_nothing_is_below_no_records_service_need_be_named():
+    told = json.loads(json.dumps(GOOD))
+    for records in (None, ""):
+        told["records"] = records
+        with pytest.raises(MalformedError, match="'records'"):
+            configuration.check(told)  # its runs may call
+    told["settings"]["familyInfo"]["below"] = "silent"
+    configuration.check(told)
+    del told["records"]
+    configuration.check(told)
+    assert configuration.records(told) is None and configuration.understood(told)["records"] is None
+    told["records"] = "nowhere"
+    with pytest.raises(MalformedError, match="'records'"):
+        configuration.check(told)
--- a/vetchford/lifecycle/configuration.py
+++ b/vetchford/lifecycle/configuration.py
@@ -22,6 +22,13 @@
     return host, int(port)
 
 
+def records(told: Mapping[str, Any]) -> tuple[str, int] | None:
+    """Where calls go; None where the settings have nothing below, and so name no service."""
+    if told.get("records") or startup.calls_below(told.get("settings")):
+        return address(told, "records")
+    return None
+
+
 def number(told: Mapping[str, Any], key: str, least: float, where: str = "") -> float:
     value = told.get(key)
     if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < 1e12:
@@ -71,8 +78,9 @@
     name = told.get("name")
     if not isinstance(name, str) or not name or not name.isprintable() or " " in name or not name.isascii():
         raise MalformedError("key 'name' must be a word")
-    for key in ("listen", "pool", "members", "records"):
+    for key in ("listen", "pool", "members"):
         address(told, key)
+    records(told)
     try:
         seed(told)
     except (TypeError, ValueError):
@@ -99,7 +107,8 @@
     stages = settings.get("requestClasses") or []
     millis = startup.NS_PER_MS
     return {
-        **{key: told[key] for key in ("name", "listen", "pool", "records", "members", "stop_ms", "limits")},
+        **{key: told[key] for key in ("name", "listen", "pool", "members", "stop_ms", "limits")},
+        "records": told.get("records"),
         "cores": (settings.get("familyInfo") or {}).get("cores"),
         **({"declared": told["declared"]} if "declared" in told else {}),
         "tenants": list(startup.indices(settings)[1]),
--- a/vetchford/lifecycle/server.py
+++ b/vetchford/lifecycle/server.py
@@ -43,7 +43,7 @@
     pool = Pool(configuration.address(told, "pool"), module, counts)
     sockets = int(told["limits"]["sockets"])
     for_calls = min(MOST_CALLS, max(8, sockets // 4 - OTHERS))  # the rest is for balancers
-    records = Records(configuration.address(told, "records"), for_calls, module, counts)
+    records = Records(configuration.records(told), for_calls, module, counts)
     members = Members(configuration.address(told, "members"), told["name"], counts)
     stages, tenants, _ = startup.indices(told["settings"])
     try:
@@ -124,12 +124,16 @@
     except Exception as problem:  # whatever is wrong with the file, the server goes on
         log.error("configuration_refused", problem=str(problem))
         return told
-    moved = [key for key in MOVABLE if fresh[key] != told[key]]
     for key in moved:
-        moves[key](configuration.address(fresh, key))
+        moves[key](addresses[key])
     together = (fresh.get("declared") or {}).get("together")
     for part in neighbours if together else ():
+        moved = [key for key in MOVABLE if fresh.get(key) != told.get(key)]
+        addresses = {
+            key: configuration.records(fresh) if key == "records" else configuration.address(fresh, key)
+            for key in moved
+        }
         part.tell(part.allow, together)
     kept = [key for key in FIXED if fresh.get(key) != told.get(key)]
     log.info("configuration_renewed", moved=",".join(moved), not_changed=",".join(kept))
-    return {**told, "stop_ms": fresh["stop_ms"], **{key: fresh[key] for key in MOVABLE}}
+    return {**told, "stop_ms": fresh["stop_ms"], **{key: fresh.get(key) for key in MOVABLE}}
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -218,6 +218,9 @@
     def call_ended(self, number: int, code: str, reply: bytes) -> None:
         q = self.calls.pop(number, None)
         if q is None:
+        if self.node.calls is None:  # nothing is below: told of a call, the node would fail in each sweep
+            self.counts.note("pool_odd_notice", task=name[:64], known=True)
+            return
             self.counts.add("calls_late")
             return
         slot, took = self.tasks[q], self.now() - self.begun.pop(number)
--- a/vetchford/startup.py
+++ b/vetchford/startup.py
@@ -30,6 +30,12 @@
     )
 
 
+def calls_below(told: Any) -> bool:
+    """Whether runs may call what lies below; anything but an object is named elsewhere."""
+    info = (told.get("familyInfo") if isinstance(told, dict) else None) or {}
+    return not isinstance(info, dict) or (info.get("below") or "silent") != "silent"
+
+
 def build(host: Host, seed: int, told: dict[str, Any], cold: bool, pools: Any = None) -> rules.Node:
     """The module's parts, each from its own few settings; `cold`: its speed still rises from the start.
 
@@ -67,11 +73,10 @@
             )
         )
     customers = told.get("customers") or []
-    below = info.get("below") or "silent"
     bound = None
-    if below != "silent":
+    if calls_below(told):
         bound = rules.CallBound(
-            share=info.get("depShare") if below == "shared" else None,
+            share=info.get("depShare") if info["below"] == "shared" else None,
             over=(info.get("callsOver") or 0) / NS_PER_MS,
             linger=(info.get("linger") or 0) / NS_PER_MS,
             cores=cores,
--- a/vetchford/wire/records.py
+++ b/vetchford/wire/records.py
@@ -21,8 +21,11 @@
 class Records:
     """Gives each call a line of its own, an actor. Ends of calls go to `module.call_ended`."""
 
-    def __init__(self, address: tuple[str, int], most: int, module: Any, counts: Counts) -> None:
-        """`most` connections at once, for the sake of descriptors; calls beyond wait for their turn."""
+    def __init__(self, address: tuple[str, int] | None, most: int, module: Any, counts: Counts) -> None:
+        """`most` connections at once, for the sake of descriptors; calls beyond wait for their turn.
+
+        No `address`: nothing is below, and a call is as good as refused.
+        """
         self.address, self.module, self.counts, self.crew = address, module, counts, Crew(counts, 2 * most)
         self.lock = threading.Lock()  # the module, the lines and the main thread use the tables
         self.most_free = max(1, most // KEPT)
@@ -132,6 +135,8 @@
             except OSError as problem:
                 self.records.counts.note("records_refused", problem=str(problem))
                 return "refused_conn", b""
+                if self.address is None:
+                    raise ConnectionRefusedError("there is no records service")
             self.sock = sock
             self.records.counts.add("records_connected")
         wait = int(until - time.time() * 1000.0)
