Calls: one given up as it ends, or as its turn comes, is in one table at any time

Cause (wire/records.py before): `unop` took a line out of `out` under the lock and cut it outside; its exchange could end between and `ended` put it among the free. The next call went out on a line marked as given up, and its end was told to nobody. And `ended` took the next of the waiting under the lock and sent it outside: an `unop` between found it in neither table. Now all three moves are made under the lock, a line that was given up is never kept, and its socket is closed under the lock too, so that its number can't be another connection's while it is cut.

--- a/vetchford/wire/records.py
+++ b/vetchford/wire/records.py
@@ -27,7 +27,7 @@
         No `address`: nothing is below, and a call is as good as refused.
         """
         self.address, self.module, self.counts, self.crew = address, module, counts, Crew(counts, 2 * most)
-        self.lock = threading.Lock()  # the module, the lines and the main thread use the tables
+        self.lock = threading.Lock()  # the module, the lines and a renewal use the tables
         self.most_free = max(1, most // KEPT)
         self.most_out = most - self.most_free
         self.free: list[Line] = []  # the last used at the end; emptied by use and by a move
@@ -51,7 +51,11 @@
             if len(self.out) >= self.most_out:
                 self.waiting.append((name, number, until, body, once))
                 return
-            line = self.out[number] = self.line_for(name, once)
+            self.send_out(name, number, until, body, once)
+
+    def send_out(self, name: str, number: int, until: float, body: bytes, once: bool) -> None:
+        """Under the lock: a call is among the waiting or has a line, so that `unop` finds it at any time."""
+        line = self.out[number] = self.line_for(name, once)
         line.tell(line.exchange, name, number, until, body)
 
     def line_for(self, name: str, once: bool) -> "Line":
@@ -66,23 +70,23 @@
 
     def ended(self, number: int, line: "Line", good: bool) -> None:
         with self.lock:
-            self.out.pop(number, None)
-            kept = good and line.address == self.address and len(self.free) < self.most_free
+            # A line that `unop` was given is about to be cut: kept, it would cut the next call on it instead.
+            ours = self.out.pop(number, None) is not None
+            kept = ours and good and line.address == self.address and len(self.free) < self.most_free
             if kept:
                 self.free.append(line)
-            following = self.waiting.popleft() if self.waiting else None
+            while self.waiting and len(self.out) < self.most_out:
+                self.send_out(*self.waiting.popleft())
         if not kept:
             line.tell(line.end)
-        if following is not None:
-            self.op(*following)
 
     def unop(self, name: str, number: int) -> None:
         with self.lock:
             line = self.out.pop(number, None)
             if line is None:
                 self.waiting = deque(entry for entry in self.waiting if entry[1] != number)
-        if line is not None:
-            line.give_up(name)
+            else:
+                line.give_up(name)  # under the lock: the line can be neither used anew nor closed meanwhile
 
 
 class Line(CrewedActor):
@@ -131,12 +135,12 @@
     def call(self, name: str, until: float, body: bytes) -> tuple[str, bytes]:
         if self.sock is None:
             try:
+                if self.address is None:
+                    raise ConnectionRefusedError("there is no records service")
                 sock = connected(self.address, CONNECT)
             except OSError as problem:
                 self.records.counts.note("records_refused", problem=str(problem))
                 return "refused_conn", b""
-                if self.address is None:
-                    raise ConnectionRefusedError("there is no records service")
             self.sock = sock
             self.records.counts.add("records_connected")
         wait = int(until - time.time() * 1000.0)
@@ -155,7 +159,7 @@
             self.inbox.fed(count)
 
     def give_up(self, name: str) -> None:
-        """Without blocking, while the line's own thread waits for the reply."""
+        """Without blocking and under the lock, while the line's own thread waits for the reply."""
         self.given_up = True
         if self.sock is not None:
             with suppress(OSError):  # a full or broken connection: its end gives the call up as well
@@ -164,5 +168,6 @@
 
     def end(self) -> None:
         self.running = False
-        if self.sock is not None:
-            self.sock.close()
+        with self.records.lock:  # not while it is given up: its number may be another connection's by then
+            if self.sock is not None:
+                self.sock.close()
