Pool: a notice that is missing or spoilt is asked for once more on a new link

A run whose end was passed over stood as running for ever: its slot of the cores was gone, its task abandoned at its limit. Now the link is bound anew with the number before, once for each number: what stays spoilt ends its run as errored, as before, and what stays missing is passed over. Seen failing on the code before: tests/crossings/test_crossed_pool.py.

--- /dev/null
+++ b/tests/crossings/test_crossed_pool.py
@@ -0,0 +1,69 @@
+"""The link to the pool between two lines, at the whole server. In both builds; docs/crossings.md."""
+
+import base64
+import json
+
+import pytest
+from helpers import Running
+
+MARK = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+
+@pytest.fixture
+def server(tmp_path):
+    with Running(tmp_path) as running:
+        yield running
+
+
+def content(message):
+    return base64.b64decode(message["result"]["content"])
+
+
+def until_out(server):
+    while server.heard_report()[2] != "OUT":
+        pass
+
+
+# -- the pool's link
+
+
+@pytest.mark.parametrize("way", ["no line", "no field", "missing"])
+def test_a_notice_that_does_not_arrive_whole_is_told_again_on_a_new_link(server, way):
+    caller = server.balancer()
+    job, other = caller.ask(1, "pay", txn="d1", unique=MARK), caller.ask(2, txn="d2")
+    for _ in range(2):
+        server.pool.take("spawn")
+    say, lost = server.pool.say, {"no line": b'{"type":"fini\xff\n', "no field": None}.get(way, b"")
+    server.pool.say = lambda message, raw=None: None
+    server.pool.finish(job, b"paid")
+    server.pool.say = say
+    if way == "no field":
+        lost = json.dumps({**server.pool.notices[0], "took": "long"}).encode() + b"\n"
+    if lost:
+        say(None, raw=lost)
+    else:
+        server.pool.finish(other)
+    assert server.pool.take("bind")[1]["n"] == 0
+    assert content(caller.hear()) == b"paid"
+    if lost:
+        server.pool.finish(other)
+    assert caller.hear()["id"] == 2
+    caller.ask(3, txn="d3")
+    server.pool.take("spawn")  # no run is left over on a core
+    assert server.pool.nothing_more("spawn", "bind")
+    server.pool.finish("d3")
+    assert caller.hear()["id"] == 3
+    assert "must_hold_broken" not in server.stop()
+
+
+def test_a_notice_that_stays_spoilt_ends_its_run_and_loops_nowhere(server):
+    caller = server.balancer()
+    job = caller.ask(1, txn="e1")
+    server.pool.take("spawn")
+    server.pool.notice("finished", job, state="complete", took="long", data=None)
+    assert server.pool.take("bind")[1]["n"] == 0
+    assert caller.hear()["error"]["code"] == -32051
+    caller.ask(2, txn="e2")
+    server.pool.take("spawn")
+    server.pool.finish("e2")
+    assert caller.hear()["id"] == 2 and server.pool.nothing_more("bind")
--- a/vetchford/wire/pool.py
+++ b/vetchford/wire/pool.py
@@ -23,6 +23,7 @@
         super().__init__("pool", counts, Crew(counts, 1))
         self.address, self.module = address, module
         self.last = 0  # number of the last notice read
+        self.asked_again = 0  # number of the last that was missing or spoilt, and was asked for once more
         self.link, self.sock = 0, None
         self.out: list[bytes] = []  # emptied behind each batch of entries
         self.out_for = 0  # the link that it is for
@@ -35,8 +36,8 @@
                 shut(self.sock)  # its reader opens the next link
 
     def begin(self) -> None:
-        begin_thread(self.keep_link, "pool-reader", self.counts)
         self.crew.begin()
+        begin_thread(self.keep_link, "pool-reader", self.counts)
 
     def send(self, link: int, parts: list[bytes]) -> None:
         if link != self.out_for:
@@ -100,29 +101,47 @@
             inbox.fed(count)
             while (line := poollines.next_line(inbox)) is not None:
                 try:
-                    self.take(*poollines.decode(line))
+                    message = poollines.decode(line)
+                except poollines.BadLineError as problem:
+                    self.counts.note("pool_bad_line", problem=str(problem))
+                    self.once_more(self.last + 1)  # it may have been that one
+                    continue
+                try:
+                    self.take(*message)
                 except poollines.BadLineError as problem:
                     self.counts.note("pool_bad_line", problem=str(problem))
 
+    def once_more(self, number: int) -> None:
+        """Has the notice told again on a new link; one that stays missing or spoilt is passed over then."""
+        if number > self.asked_again:
+            self.asked_again = number
+            raise UnfollowableError(f"notice {number} did not arrive whole")
+
     def take(self, name: str, message: dict) -> None:
         module, number = self.module, message.get("n")
+        fields: tuple[Any, ...] = ()
         if isinstance(number, int) and name in ("finished", "blocked", "chatter"):
             if number <= self.last:
                 self.counts.add("pool_notices_again")
                 return
             if number != self.last + 1:
+                # The pool keeps what it said. An end passed over would leave its run on a core for good.
                 self.counts.note("pool_notices_missed", after=self.last, number=number)
-            self.last = number
-        if name == "finished":
+                self.once_more(self.last + 1)
             try:
-                fields = poollines.finished_fields(message)
+                fields = poollines.notice_fields(name, message)
             except poollines.BadLineError:
-                # The run is over all the same: left as running it would hold a core's place for good.
-                module.tell_when_room(module.run_ended, str(message.get("job")), "errored", 0.0, "")
+                self.once_more(number)
+                self.last = number
+                if name == "finished":
+                    # The run is over all the same: left as running it would hold a core's place for good.
+                    module.tell_when_room(module.run_ended, str(message.get("job")), "errored", 0.0, "")
                 raise
-            module.tell_when_room(module.run_ended, *fields)
+            self.last = number
+        if name == "finished":
+            module.tell_when_room(module.run_ended, *(fields or poollines.finished_fields(message)))
         elif name == "blocked":
-            module.tell_when_room(module.run_blocked, *poollines.blocked_fields(message))
+            module.tell_when_room(module.run_blocked, *(fields or poollines.blocked_fields(message)))
         elif name == "polled":
             module.tell_when_room(module.polled, *poollines.polled_fields(message))
         elif name == "bound":
--- a/vetchford/wire/poollines.py
+++ b/vetchford/wire/poollines.py
@@ -71,6 +71,12 @@
     return field(message, "job", str), field(message, "n", int), body
 
 
+def notice_fields(name: str, message: dict[str, Any]) -> tuple[Any, ...]:
+    if name == "chatter":
+        return ()
+    return finished_fields(message) if name == "finished" else blocked_fields(message)
+
+
 def polled_fields(message: dict[str, Any]) -> tuple[str, list[float]]:
     gauges = field(message, "gauges", list)
     if not all(isinstance(value, int | float) and math.isfinite(value) for value in gauges):
