Signals: held from the first line on, heard in a drain, and not behind a slow file

Causes (cli.py, lifecycle/server.py before): signals were held after all was loaded and the file read, so an early SIGHUP ended the program; the main thread itself read the file anew, so SIGTERM waited behind it and lost that time of its stop; after SIGTERM nobody took SIGHUP, so the addresses of a draining server did not move; a stop whose time ran out said `stopped` and gave 0. Forced with a named pipe in the file's place (tests/crossings/test_crossed_signals.py), seen failing on the code before. A renewal has a thread as long as it takes; an overrun says `stop_overrun` and exits with 1.

--- /dev/null
+++ b/tests/crossings/test_crossed_signals.py
@@ -0,0 +1,167 @@
+"""Signals between two lines, at the whole server. In both builds; docs/crossings.md."""
+
+import base64
+import os
+import signal
+import subprocess
+
+import pytest
+from helpers import TOLD, Running
+
+from standins.gates import beside
+from standins.peers import PATIENCE
+
+MARK = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+
+@pytest.fixture
+def server(tmp_path):
+    with Running(tmp_path) as running:
+        yield running
+
+
+def content(message):
+    return base64.b64decode(message["result"]["content"])
+
+
+def until_out(server):
+    while server.heard_report()[2] != "OUT":
+        pass
+
+
+# -- start and signals
+
+
+def opened_for_reading(path):
+    """Returns the writing end: somebody is just reading it, and waits for what is written."""
+    opening, ends = beside(lambda: open(path, "w"))  # noqa: SIM115
+    opening.join(PATIENCE)
+    assert ends, "nobody reads the configuration"
+    return ends[0]
+
+
+def test_a_sighup_before_the_configuration_is_read_ends_nothing(tmp_path):
+    with Running(tmp_path) as model:  # stand-ins, and a configuration that suits them
+        told = model.config.read_text()
+        pipe = tmp_path / "pipe.json"
+        os.mkfifo(pipe)
+        process = subprocess.Popen(
+            model.COMMAND, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+            env={**os.environ, "ROUTER_CONFIG": str(pipe)},
+        )  # fmt: skip
+        try:
+            with opened_for_reading(pipe) as end:  # it is in the middle of its start
+                process.send_signal(signal.SIGHUP)
+                end.write(told)
+            with opened_for_reading(pipe) as end:  # it serves, and reads anew as it was asked to
+                end.write(told)
+            assert any("event=configuration_renewed" in line for line in process.stdout)
+            process.terminate()
+            assert process.wait(PATIENCE) == 0, process.stdout.read()
+        finally:
+            process.kill()
+            process.wait()
+
+
+def test_a_slow_configuration_takes_nothing_from_the_stop_behind_it(server):
+    server.config.unlink()
+    os.mkfifo(server.config)
+    server.process.send_signal(signal.SIGHUP)
+    with opened_for_reading(server.config):  # and nothing is written there
+        server.process.terminate()
+        until_out(server)
+        assert server.process.wait(PATIENCE) == 0
+
+
+def test_a_stop_before_the_pool_is_there_answers_what_has_begun_and_is_never_reported_fit(tmp_path):
+    with Running(tmp_path, up=False) as server:
+        caller = server.balancer()
+        whole, send = [], caller.sock.sendall
+        caller.raw = whole.append
+        caller.ask(7)
+        send(whole[0][:60])
+        server.process.terminate()
+        until_out(server)
+        server.pool.up.set()  # the pool comes up in the middle of it
+        send(whole[0][60:])
+        heard = {message.get("id"): message for message in (caller.hear(), caller.hear())}
+        assert heard[7]["error"]["code"] == -32050 and None in heard  # and `closing`
+        assert server.process.wait(PATIENCE) == 0
+        server.members.setblocking(False)
+        reports = []
+        try:
+            while True:
+                reports.append(server.members.recv(64))
+        except BlockingIOError:
+            pass
+        assert b"HB n1 UP" not in reports
+
+
+# -- shutdown
+
+
+def test_a_move_and_a_second_sigterm_in_a_drain_change_nothing_but_the_addresses(server):
+    caller = server.balancer()
+    job = caller.ask(1, "pay", unique=MARK)
+    server.pool.take("spawn")
+    server.process.terminate()
+    assert caller.hear()["method"] == "closing"
+    old = server.move()  # SIGHUP
+    assert server.pool.take("bind")[1]["n"] == 0
+    assert server.heard_report() == ["HB", "n1", "OUT"]
+    server.process.terminate()
+    server.pool.finish(job, b"paid")
+    assert content(caller.hear()) == b"paid"
+    assert server.process.wait(PATIENCE) == 0
+    assert old[0].nothing_more("spawn") and server.pool.nothing_more("spawn")
+
+
+def test_a_drain_under_a_lost_pool_link_and_no_membership_service_answers_all(server):
+    caller = server.balancer()
+    job = caller.ask(1, "pay", unique=MARK)
+    server.pool.take("spawn")
+    server.members.close()  # nobody takes reports any more
+    server.process.terminate()
+    assert caller.hear()["method"] == "closing"
+    server.pool.cut()
+    server.pool.finish(job, b"told on the next link")
+    assert content(caller.hear()) == b"told on the next link"
+    assert server.process.wait(PATIENCE) == 0
+
+
+def test_a_repeat_in_a_drain_gets_its_first_try_s_result_and_no_second_run(server):
+    one, two = server.balancer(), server.balancer()
+    job = one.ask(1, "pay", txn="a1", unique=MARK)
+    server.pool.take("spawn")
+    server.process.terminate()
+    assert one.hear()["method"] == two.hear()["method"] == "closing"  # past the grace
+    two.ask(1, "pay", txn="a2", unique=MARK)
+    two.ask(2, txn="a3")  # nothing new is run; its answer shows that the repeat before it was read
+    assert two.hear()["error"]["code"] == -32050
+    server.pool.finish(job, b"paid")
+    assert content(one.hear()) == content(two.hear()) == b"paid"
+    assert server.process.wait(PATIENCE) == 0
+    assert server.pool.nothing_more("spawn")
+
+
+
+
+# -- settings
+
+
+def test_a_renewed_configuration_with_other_settings_moves_addresses_alone(server):
+    caller = server.balancer()
+    server.told = {
+        "requestClasses": [{**TOLD["requestClasses"][1], "effect": "read_like", "name": "read"}],
+        "customers": [{"name": "other", "quotaPerS": 1.0}],
+    }
+    server.move()
+    server.pool.take("bind")
+    assert server.heard_report() == ["HB", "n1", "UP"]
+    job = caller.ask(1, "pay", unique=MARK)  # stage and tenant of the start
+    server.pool.take("spawn")
+    server.pool.finish(job, b"paid")
+    assert content(caller.hear()) == b"paid"
+    caller.ask(2, "pay", txn="b2", unique=MARK)
+    assert content(caller.hear()) == b"paid"  # still fingerprinted
+    assert "not_changed=" in server.stop()
--- a/tests/test_apart.py
+++ b/tests/test_apart.py
@@ -33,7 +33,8 @@
     program = (
         "import json, sys, threading\n"
         "from vetchford import cli\nfrom vetchford.lifecycle import server\n"
-        "server.signal.sigwait = lambda held: server.signal.SIGTERM\n"
+        "import signal\nheld = iter([signal.SIGTERM])\n"
+        "signal.sigwait = lambda which: next(held, None) or threading.Event().wait()\n"
         f"sys.exit(cli.main(['--config', {str(file)!r}, 'serve']))"
     )
     ran, names = imported(["-c", program])
--- a/vetchford/__main__.py
+++ b/vetchford/__main__.py
@@ -2,6 +2,12 @@
 
 import sys
 
+if "serve" in sys.argv[1:] and sys.argv[1] != "fleet":
+    # Before all else is loaded: a SIGHUP in the first tenths of a second would end the program.
+    from vetchford.lifecycle.signals import hold_signals
+
+    hold_signals()
+
 from vetchford.cli import main
 
 sys.exit(main())
--- a/vetchford/cli.py
+++ b/vetchford/cli.py
@@ -45,7 +45,7 @@
 
 import vetchford
 from vetchford.actors import logs
-from vetchford.lifecycle import configuration, server
+from vetchford.lifecycle import configuration, server, signals
 from vetchford.startup import MalformedError
 
 
@@ -90,7 +90,7 @@
     if asked["settings"]:
         print(json.dumps(configuration.understood(told), indent=2))
         return 0
-    server.hold_signals()
+    signals.hold_signals()
     writer = logs.begin(asked["--log-level"], asked["--log-form"])
     try:
         return server.serve(told, load)
--- a/vetchford/lifecycle/server.py
+++ b/vetchford/lifecycle/server.py
@@ -1,8 +1,9 @@
 """Start, signals and end of one server."""
 
+import contextlib
 import gc
-import signal
 import threading
+import time
 from collections.abc import Callable, Sequence
 from functools import partial
 from typing import Any
@@ -10,8 +11,9 @@
 import structlog
 
 from vetchford import startup
+from vetchford.actors.actor import begin_thread
 from vetchford.actors.counts import Counts
-from vetchford.lifecycle import configuration
+from vetchford.lifecycle import configuration, signals
 from vetchford.module import ModuleActor
 from vetchford.wire.balancers import Doors
 from vetchford.wire.members import Members
@@ -21,7 +23,6 @@
 log = structlog.get_logger()
 
 STACK = 256 * 1024  # bytes a thread; no call here nests deeply, and untouched pages cost nothing
-SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 OTHERS = 8  # descriptors for listening, waiting, the pool's link, reports and the standard three
 FOR_NEIGHBOURS = 4  # descriptors: datagrams, a door that takes nobody in, one that knocks there, one spare
 MOST_CALLS = 56  # descriptors for calls: three times the calls that a server of twelve cores may have out
@@ -30,11 +31,6 @@
 FIXED = ("name", "listen", "limits", "settings", "declared")
 
 
-def hold_signals() -> None:
-    """Before any thread begins: through one that doesn't hold them a second signal would end the program."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
-
-
 def serve(told: dict[str, Any], reread: Callable[[], dict[str, Any]]) -> int:
     """Runs until a signal asks it to leave and all is answered; `reread` gives the configuration anew."""
     threading.stack_size(STACK)
@@ -75,14 +71,26 @@
         "records": records.move,
         "members": partial(members.tell, members.move),
     }
-    while (caught := signal.sigwait(SIGNALS)) == signal.SIGHUP:
-        told = renew(told, reread, moves, neighbours)
-    log.info("signal", number=int(caught))
+    renewals = signals.Renewals(
+        told,
+        lambda before: renew(before, reread, moves, neighbours),
+        lambda act: begin_thread(act, "renewal", counts),
+    )
+    caught = signals.until_told_to_leave(renewals.ask)
+    at = time.time() * 1000.0
+    log.info("signal", number=caught)
+    stop_ms = float(renewals.told["stop_ms"])
     grace = (told["settings"].get("rules") or {}).get("drainGrace") or 0
     for part in neighbours:
         part.tell(part.leave)
-    module.tell(module.notice, float(told["stop_ms"]), grace / startup.NS_PER_MS)
-    stopped.wait(told["stop_ms"] / 1000.0)
+    module.tell(module.notice, stop_ms, grace / startup.NS_PER_MS)
+    with contextlib.suppress(RuntimeError):  # no thread to be had: the end goes before what may still move
+        threading.Thread(
+            target=partial(signals.heed_for_good, renewals.ask), name="signals", daemon=True
+        ).start()
+    if not stopped.wait(max(0.0, (at + stop_ms) / 1000.0 - time.time())):
+        log.error("stop_overrun", stop_ms=stop_ms)  # the module's thread is stuck; a kill is next
+        return 1
     log.info("stopped")
     return 0
 
@@ -121,6 +129,11 @@
     """Goes over to the addresses of the file as it is now; one that is wrong leaves all as it was."""
     try:
         fresh = reread()
+        moved = [key for key in MOVABLE if fresh.get(key) != told.get(key)]
+        addresses = {
+            key: configuration.records(fresh) if key == "records" else configuration.address(fresh, key)
+            for key in moved
+        }
     except Exception as problem:  # whatever is wrong with the file, the server goes on
         log.error("configuration_refused", problem=str(problem))
         return told
@@ -128,11 +141,6 @@
         moves[key](addresses[key])
     together = (fresh.get("declared") or {}).get("together")
     for part in neighbours if together else ():
-        moved = [key for key in MOVABLE if fresh.get(key) != told.get(key)]
-        addresses = {
-            key: configuration.records(fresh) if key == "records" else configuration.address(fresh, key)
-            for key in moved
-        }
         part.tell(part.allow, together)
     kept = [key for key in FIXED if fresh.get(key) != told.get(key)]
     log.info("configuration_renewed", moved=",".join(moved), not_changed=",".join(kept))
