--- a/vetchford/drain.py
+++ b/vetchford/drain.py
@@ -18,8 +18,15 @@
         self.kill, self.leave_at = now + stop_ms, now + min(grace, 0.6 * stop_ms)
         return self.kill - EXIT_TAKES
 
+    def begun(self) -> bool:
+        return self.kill < math.inf
+
+    def last_moment(self) -> float:
+        """When the program leaves, whatever is open: a moment later it would be killed."""
+        return self.kill - LEAVE_BEFORE
+
     def closes(self, now: float) -> bool:
         return now >= self.leave_at
 
     def ends(self, now: float, all_out: bool) -> bool:
-        return all_out or now > self.kill - LEAVE_BEFORE
+        return all_out or now >= self.last_moment()
--- a/vetchford/lifecycle/server.py
+++ b/vetchford/lifecycle/server.py
@@ -83,7 +83,7 @@
     grace = (told["settings"].get("rules") or {}).get("drainGrace") or 0
     for part in neighbours:
         part.tell(part.leave)
-    module.tell(module.notice, stop_ms, grace / startup.NS_PER_MS)
+    module.tell(module.notice, at, stop_ms, grace / startup.NS_PER_MS)
     with contextlib.suppress(RuntimeError):  # no thread to be had: the end goes before what may still move
         threading.Thread(
             target=partial(signals.heed_for_good, renewals.ask), name="signals", daemon=True
--- a/vetchford/module.py
+++ b/vetchford/module.py
@@ -4,6 +4,7 @@
 calls the node, and the node calls back for what is to be done. Nothing here blocks on a socket.
 """
 
+import contextlib
 import hashlib
 import math
 import time
@@ -149,6 +150,8 @@
 
     def bound(self, link: int, cold: bool, ago: float) -> None:
         self.link, self.ready = link, False
+        if self.node is None and self.drain.begun():
+            return  # it leaves: a node would report itself fit, and what came before was turned away
         if self.node is None:
             self.origin = time.time() * 1000.0 - ago
             pools = self.make_pools() if self.make_pools else None
@@ -215,14 +218,14 @@
             return
         slot = self.tasks[q]
         slot.command, slot.need = None, (notice, body)
+        if self.node.calls is None:  # nothing is below: told of a call, the node would fail in each sweep
+            self.counts.note("pool_odd_notice", task=name[:64], known=True)
+            return
         self.node.stalled_on_call(self.now(), q)
 
     def call_ended(self, number: int, code: str, reply: bytes) -> None:
         q = self.calls.pop(number, None)
         if q is None:
-        if self.node.calls is None:  # nothing is below: told of a call, the node would fail in each sweep
-            self.counts.note("pool_odd_notice", task=name[:64], known=True)
-            return
             self.counts.add("calls_late")
             return
         slot, took = self.tasks[q], self.now() - self.begun.pop(number)
@@ -285,12 +288,17 @@
         if on_cores is not None:
             # Told as of now: a run that ended since the poll would pass for reading, and leave its core idle.
             on_cores += self.node.running - self.running_then
-        try:
+        with contextlib.ExitStack() as whatever_it_does:  # called from the last to the first
+            whatever_it_does.callback(self.leave_when_due)
+            whatever_it_does.callback(self.let_idle_go)
+            whatever_it_does.callback(self.last_resort, self.now() - OVERDUE)
             self.node.woke(self.now(), gauge("core_use"), on_cores)
-        finally:
-            self.last_resort(self.now() - OVERDUE)
+
+    def let_idle_go(self) -> None:
         if self.idle_for < math.inf:
             self.doors.close_idle(self.idle_for)
+
+    def leave_when_due(self) -> None:
         if self.drain.closes(time.time() * 1000.0):
             self.leave_step()
 
@@ -320,26 +328,42 @@
 
     # -- drain
 
-    def notice(self, stop_ms: float, grace: float) -> None:
+    def notice(self, at: float, stop_ms: float, grace: float) -> None:
+        """`at`: Unix ms of the signal; grace and kill count from there, however far the mailbox is behind."""
         log.info("drain_begins", stop_ms=stop_ms, open=self.open_tasks())
-        until = self.drain.begin(time.time() * 1000.0, stop_ms, grace)
-        if self.node is None:
-            self.end()
+        until = self.drain.begin(at, stop_ms, grace)
+        self.timers.at(self.drain.last_moment(), self.leave_step)  # sweeps may fall around it
+        if self.node is None:  # no sweeps come, and nothing could be run: only what is read is to be answered
+            self.members.tell(self.members.judge, False)
+            self.leave_without_pool()
             return
-        self.node.leaving(self.now(), until - self.origin)
+        self.node.leaving(at - self.origin, until - self.origin)
+
+    def leave_without_pool(self) -> None:
+        self.leave_step()
+        if not self.stopped:
+            self.timers.at(time.time() * 1000.0 + rules.Node.SWEEP, self.leave_without_pool)
 
     def leave_step(self) -> None:
         """Past the grace nothing new is taken; once all is answered and written, the end."""
-        self.doors.close()
-        if self.drain.ends(time.time() * 1000.0, self.doors.done() and not self.open_tasks()):
-            self.counts.must(not self.open_tasks(), "answered_before_the_stop")
-            self.end()
+        last = self.drain.ends(time.time() * 1000.0, False)
+        try:
+            if last:
+                self.last_resort(math.inf)  # a program that was paused past its sweeps still says what it can
+            self.doors.close()
+        finally:
+            # Whatever goes wrong on the way, the program ends before it is killed.
+            if last or self.doors.done() and not self.open_tasks():
+                self.end()
 
     def end(self) -> None:
         if not self.stopped:
             self.stopped = True
-            self.summarise()
-            self.when_stopped()
+            try:
+                self.counts.must(not self.open_tasks(), "answered_before_the_stop")
+                self.summarise()
+            finally:
+                self.when_stopped()
 
     def open_tasks(self) -> int:
         return sum(slot is not None and not slot.answered for slot in self.tasks.slots)
