Doors: nothing is lost between two hands, at the last look, or as one is let go

Causes (wire/balancers.py, wire/lobby.py before), each forced and seen failing (tests/crossings/test_crossed_doors.py): - accepted and not yet in the table, a connection was not seen by the drain's end. Taking one in holds a lock now. - out of descriptors, `close` shut the door on the backlog.

--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import math
+import select
 import socket
 import threading
 import time
@@ -73,8 +74,15 @@
         """It stayed too long; what has come meanwhile is taken all the same, and answered."""
         if self.begun < math.inf and not self.passing:
             self.turn_out("a message was begun and not ended")
-        self.last = True
-        self.read_on()
+        silent, self.last = not self.heard, True
+        more = self.read_on()
+        spoke = self.open or self.begun < math.inf or silent and self.heard
+        if more and spoke and not self.passing:
+            # It spoke while it was being let go. More may come behind this from one that hasn't heard of it:
+            # that would stand unread, and closing on it would reset the answer.
+            self.last = False
+            self.doors.lobby.come_back(self)
+            return
         if not self.heard:
             self.counts.add("connections_silent")
         self.read_to_end()
@@ -286,9 +294,23 @@
 
     def done(self, now: float, closes_in: float) -> bool:
         """Asked to close some time ago, with nothing left to be read or written."""
-        quiet = not self.open and not self.writing and self.mailbox.empty()
+        # A message that has begun is owed an answer from its last byte on; `overstays` bounds its time.
+        begun = self.begun < math.inf and not self.passing
+        quiet = not self.open and not self.writing and not begun and self.mailbox.empty()
         return self.broken or quiet and 0.0 < self.asked < now - closes_in
 
+    def unread(self) -> bool:
+        """Whether something has come that is not understood yet: in the system's buffer, or with a reader."""
+        if self.passing or self.read_all or self.broken:  # what still comes is answered by nobody
+            return False
+        try:
+            if self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                return True
+        except OSError:  # nothing there, or it is closed
+            pass
+        # Behind the look: what was read before it is with a reader, or among the open by now.
+        return self.running and not self.doors.lobby.holds(self)
+
     def idle(self) -> None:
         if self.out:
             self.write()
@@ -330,46 +352,71 @@
         self.fit = False
         self.connections: set[Connection] = set()
         self.lock = threading.Lock()
-        self.shutting = False
+        self.shutting = self.closed = False  # no more is to be waited for; the socket is closed
+        self.door = threading.Lock()  # held from taking a connection until it is in the table
         self.free = threading.Semaphore(self.most)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(address)
         self.sock.listen(BACKLOG)
+        self.sock.setblocking(False)
 
     def begin(self) -> None:
+        self.crew.begin()
+        self.readers.begin()
         self.lobby.begin()
         threading.Thread(target=self.accept, name="doors", daemon=True).start()
 
     def accept(self) -> None:
+        waiter = select.poll()
+        waiter.register(self.sock, select.POLLIN)
         while not self.shutting:
             while not self.free.acquire(timeout=self.CROWDED_EVERY):  # newcomers wait in the backlog
                 if self.shutting:
                     return
                 self.make_room()
+            waiter.poll()
             try:
-                sock, _ = self.sock.accept()
+                entered = self.take_in()
             except OSError as problem:
                 self.free.release()
                 if not self.shutting:
                     self.counts.note("accept_failed", problem=str(problem))
                     time.sleep(0.05)  # out of descriptors or memory: some time for others to leave
                 continue
-            self.enter(sock)
+            if not entered:
+                self.free.release()
+            elif self.fuller_than(CROWDED):
+                self.make_room()
 
-    def enter(self, sock: socket.socket) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        time_limit(sock, socket.SO_RCVTIMEO, TICK)
-        time_limit(sock, socket.SO_SNDTIMEO, WRITE_IN)
-        connection = Connection(sock, self, self.counts)
-        self.crew.begin()
-        self.readers.begin()
-        with self.lock:
-            self.connections.add(connection)
+    def take_in(self) -> bool:
+        """The next that has connected, if any. Under the lock: `close` never sees one between two hands."""
+        with self.door:
+            if self.closed:
+                return False
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, ConnectionAbortedError):  # it has left before it was taken
+                return False
+            return self.enter(sock)
+
+    def enter(self, sock: socket.socket) -> bool:
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            time_limit(sock, socket.SO_RCVTIMEO, TICK)
+            time_limit(sock, socket.SO_SNDTIMEO, WRITE_IN)
+            connection = Connection(sock, self, self.counts)
+            with self.lock:
+                self.connections.add(connection)
+            self.lobby.enter(connection)
+        except OSError as problem:  # its own end, not that of the thread which takes all others in
+            self.counts.note("connections_lost_at_door", problem=str(problem))
+            with self.lock:
+                self.connections = {other for other in self.connections if other.sock is not sock}
+            sock.close()
+            return False
         self.counts.add("connections_accepted")
-        self.lobby.enter(connection)
-        if self.fuller_than(CROWDED):
-            self.make_room()
+        return True
 
     def fuller_than(self, share: float) -> bool:
         return len(self.connections) > share * self.most
@@ -407,14 +454,21 @@
 
     def close(self) -> None:
         """Takes in what has connected already, and nothing more; then asks all to close."""
-        if not self.shutting:
-            self.shutting = True
-            self.sock.setblocking(False)
-            with contextlib.suppress(OSError):  # until none is left
-                while True:
-                    self.enter(self.sock.accept()[0])
-            shut(self.sock)  # wakes the thread that accepts
-            self.sock.close()
+        self.shutting = True
+        with contextlib.suppress(OSError), self.door:  # out of descriptors: the next sweep takes in the rest
+            for _ in range(BACKLOG):  # nor does a storm of newcomers hold up the module for longer than that
+                if self.closed:
+                    break
+                try:
+                    sock, _ = self.sock.accept()
+                except BlockingIOError:  # none is left
+                    self.closed = True
+                    shut(self.sock)  # wakes the thread that accepts
+                    self.sock.close()
+                except ConnectionAbortedError:
+                    continue
+                else:
+                    self.enter(sock)
         with self.lock:
             asked = [connection for connection in self.connections if not connection.asked]
         for connection in asked:
@@ -424,4 +478,11 @@
         """Whether all that came through it is answered and closed, or could be."""
         now = time.monotonic()
         with self.lock:
-            return all(connection.done(now, DRAINED_IN) for connection in self.connections)
+            staying = list(self.connections)
+        # The last look: a pause of the process may have let the time pass in which they would have been read.
+        return (
+            self.closed
+            and all(connection.done(now, DRAINED_IN) for connection in staying)
+            and not any(connection.unread() for connection in staying)
+            and all(connection.done(now, DRAINED_IN) for connection in staying)
+        )
--- a/vetchford/wire/lobby.py
+++ b/vetchford/wire/lobby.py
@@ -3,6 +3,7 @@
 import select
 import threading
 import time
+from collections.abc import Callable
 from typing import Any
 
 from vetchford.actors.actor import Crew
@@ -17,20 +18,32 @@
     def __init__(self, crew: Crew) -> None:
         self.crew, self.epoll = crew, select.epoll()
         self.waiting: dict[int, Any] = {}  # connections by descriptor
+        self.lock = threading.Lock()  # held from putting one there until its descriptor is armed
 
     def begin(self) -> None:
         threading.Thread(target=self.watch, name="lobby", daemon=True).start()
 
     def enter(self, connection: Any) -> None:
         """A new connection; `come_back` is for one that was here."""
-        descriptor = connection.sock.fileno()
-        self.waiting[descriptor] = connection
-        self.epoll.register(descriptor, select.EPOLLIN | select.EPOLLONESHOT)
+        self.wait_for(connection, self.epoll.register)
 
     def come_back(self, connection: Any) -> None:
+        self.wait_for(connection, self.epoll.modify)
+
+    def wait_for(self, connection: Any, arm: Callable[[int, int], None]) -> None:
         descriptor = connection.sock.fileno()
-        self.waiting[descriptor] = connection
-        self.epoll.modify(descriptor, select.EPOLLIN | select.EPOLLONESHOT)
+        # Between the two it might be let go and closed, and its number armed anew be another connection's.
+        with self.lock:
+            self.waiting[descriptor] = connection
+            try:
+                arm(descriptor, select.EPOLLIN | select.EPOLLONESHOT)
+            except OSError:
+                del self.waiting[descriptor]
+                raise
+
+    def holds(self, connection: Any) -> bool:
+        """Whether it waits here, with no reader on it."""
+        return self.waiting.get(connection.sock.fileno()) is connection
 
     def watch(self) -> None:
         self.look_at = 0.0
@@ -50,6 +63,7 @@
             self.look_at = now + EVERY
             for descriptor, connection in list(self.waiting.items()):
                 if connection.overstays(now):
+                    with self.lock:  # none is let go while it is just coming back
+                        del self.waiting[descriptor]
                     # Read once more: what it said since is not cut off.
-                    del self.waiting[descriptor]
                     self.crew.run(connection.read_last)
