Tests of crossings: waits bounded, the second reply and the second request looked for where they come

Seen while running them against the code before the fixes: the test of three links passed over the second reply, that of a connection let go could have its second request read in the same turn, and one wait had no bound.

--- a/tests/crossings/test_crossed_doors.py
+++ b/tests/crossings/test_crossed_doors.py
@@ -148,14 +148,23 @@
     """Silent for too long it is to go; its first request comes before the last read, the second behind it."""
     monkeypatch.setattr(balancers, "FIRST_IN", 0.05)
     doors, gate = entrance.doors, Gate()
-    monkeypatch.setattr(balancers.Connection, "read_last", gate.before(balancers.Connection.read_last))
+    read_last, over = balancers.Connection.read_last, threading.Event()
+
+    def held(connection):
+        gate.come()
+        read_last(connection)
+        over.set()
+
+    monkeypatch.setattr(balancers.Connection, "read_last", held)
     doors.begin()
     caller = Balancer(entrance.port)
     gate.wait()
     caller.ask(1)
-    until(lambda: all(c.unread() for c in doors.connections), "the request stands in the buffer")
+    sock = next(iter(doors.connections)).sock
+    until(lambda: sock.recv(1, socket.MSG_PEEK), "the request stands in the buffer")
     gate.open()
     first = entrance.request()
+    assert over.wait(PATIENCE)
     caller.ask(2)
     entrance.finish(*entrance.request())
     entrance.finish(*first)
--- a/tests/crossings/test_crossed_pool.py
+++ b/tests/crossings/test_crossed_pool.py
@@ -81,7 +81,8 @@
     def confirmed(n):
         # Of what must not run twice a poll stands behind the spawn: its answer confirms all before it.
         caller.ask(n, "pay", txn=f"g{n}", unique=f"{n:032x}")
-        assert server.pool.take("spawn")[1]["job"] == f"g{n}"
+        kind, message = server.pool.take("spawn", "supply")
+        assert (kind, message["job"]) == ("spawn", f"g{n}")
         server.pool.finish(f"g{n}")
         assert caller.hear()["id"] == n
 
--- a/tests/crossings/test_crossed_signals.py
+++ b/tests/crossings/test_crossed_signals.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import subprocess
+import time
 
 import pytest
 from helpers import TOLD, Running
@@ -25,8 +26,9 @@
 
 
 def until_out(server):
+    end = time.monotonic() + PATIENCE
     while server.heard_report()[2] != "OUT":
-        pass
+        assert time.monotonic() < end, "it is still reported as fit"
 
 
 # -- start and signals
