Test of two configurations: runs end and teach, so that a shared mean shows

With a mean shared by all stages planted by hand the test as it was passed: one configuration rejected everything and the other learnt nothing. Now both start, end and reject, and the planted mistake fails it. The six safe crossings' guards were spoilt once by hand each: all six tests fail.

--- a/tests/crossings/test_crossed_hand_overs.py
+++ b/tests/crossings/test_crossed_hand_overs.py
@@ -7,6 +7,7 @@
 
 from standins.gates import until
 from standins.peers import PATIENCE
+from vetchford import rules, startup
 from vetchford.actors import actor
 from vetchford.actors.actor import Crew
 from vetchford.actors.counts import Counts
@@ -39,8 +40,8 @@
 
 
 def test_two_configurations_beside_each_other_decide_as_each_alone():
-    from vetchford import startup
-
+    short = {"promise": 900_000_000, "deadline": 1_500_000_000}
+    told = {**TOLD, "requestClasses": [{**entry, **short} for entry in TOLD["requestClasses"]]}
     other = {
         **TOLD,
         "requestClasses": [
@@ -52,19 +53,24 @@
         "familyInfo": {"cores": 1, "ramKb": 300.0, "blowup": 2.0, "ownStats": ["core_use"]},
     }
 
+    takes = {2: 60.0, 1: 400.0}  # ms of a run, by the cores: what one learns is not what the other does
+
     def play(*tolds):
         hosts = [Recorder() for _ in tolds]
-        nodes = [startup.build(host, 7, told, False) for host, told in zip(hosts, tolds, strict=True)]
+        nodes = [startup.build(host, 7, its, False) for host, its in zip(hosts, tolds, strict=True)]
         for step in range(400):
             now = 10.0 * step
-            for host, node in zip(hosts, nodes, strict=True):
-                node.arrived(now, step, step % 2, -1, step % 3, now + 650.0, 20.0, 20_480, False, 0.0, None)
-                started = [act[1] for act in host.acts if act[0] == "start"]
-                for q in started[-2:-1]:
-                    if q in node.tasks and node.tasks[q].state == 1:
-                        node.ended(now, q, "completed", 30.0)
+            for node in nodes:
+                limit = now + node.stages[step % 2].limit
+                node.arrived(now, step, step % 2, -1, step % 3, limit, 20.0, 20_480, False, 0.0, None)
+                runs = [q for q, task in node.tasks.items() if task.state == rules.RUNNING]
+                for q in runs[: step % 3 == 0]:
+                    node.ended(now, q, "completed", takes[node.cores])
                 if step % 5 == 0:
                     node.woke(now, 0.9, 2.0)
         return [host.acts for host in hosts]
 
-    assert play(TOLD, other) == [*play(TOLD), *play(other)]
+    alone = [*play(told), *play(other)]
+    for acts in alone:  # enough is decided for a difference to show
+        assert {"start", "reject"} <= {act[0] for act in acts}
+    assert play(told, other) == alone
