--- a/tests/crossings/test_crossed_hand_overs.py
+++ b/tests/crossings/test_crossed_hand_overs.py
@@ -5,12 +5,13 @@
 
 from helpers import TOLD, Recorder
 
-from standins.gates import until
+from standins.gates import Gate, beside, until
 from standins.peers import PATIENCE
 from vetchford import rules, startup
 from vetchford.actors import actor
 from vetchford.actors.actor import Crew
 from vetchford.actors.counts import Counts
+from vetchford.lifecycle.renewals import Renewals
 
 
 def test_a_job_that_finds_no_thread_is_done_all_the_same(monkeypatch):
@@ -74,3 +75,25 @@
     for acts in alone:  # enough is decided for a difference to show
         assert {"start", "reject"} <= {act[0] for act in acts}
     assert play(told, other) == alone
+
+
+def test_a_renewal_that_raises_keeps_no_later_one_from_its_turn():
+    """The second wish comes while the first is served, and that one ends in an error."""
+    gate, served = Gate(), []
+
+    def renew(told):
+        served.append(told)
+        gate.come()
+        if len(served) == 1:
+            raise OSError("the disk")
+        return {"stop_ms": len(served)}
+
+    renewals = Renewals({"stop_ms": 0}, renew, lambda act: beside(act))
+    renewals.ask()
+    gate.wait()
+    renewals.ask()
+    gate.open()
+    until(lambda: not renewals.at_work, "both are served")
+    assert served == [{"stop_ms": 0}] * 2 and renewals.told == {"stop_ms": 2}
+    renewals.ask()
+    until(lambda: renewals.told == {"stop_ms": 3}, "one more")
--- a/vetchford/lifecycle/server.py
+++ b/vetchford/lifecycle/server.py
@@ -14,6 +14,7 @@
 from vetchford.actors.actor import begin_thread
 from vetchford.actors.counts import Counts
 from vetchford.lifecycle import configuration, signals
+from vetchford.lifecycle.renewals import Renewals
 from vetchford.module import ModuleActor
 from vetchford.wire.balancers import Doors
 from vetchford.wire.members import Members
@@ -71,7 +72,7 @@
         "records": records.move,
         "members": partial(members.tell, members.move),
     }
-    renewals = signals.Renewals(
+    renewals = Renewals(
         told,
         lambda before: renew(before, reread, moves, neighbours),
         lambda act: begin_thread(act, "renewal", counts),
