Drain: that no thread was to be had for signals is counted, no longer swallowed

Cause: the RuntimeError was suppressed, so nothing told why a SIGHUP in a drain moved nothing. It is noted as no_thread with the part's name; the drain goes on as before. No test: the branch only counts.

--- a/vetchford/lifecycle/server.py
+++ b/vetchford/lifecycle/server.py
@@ -1,6 +1,5 @@
 """Start, signals and end of one server."""
 
-import contextlib
 import gc
 import threading
 import time
@@ -85,10 +84,12 @@
     for part in neighbours:
         part.tell(part.leave)
     module.tell(module.notice, at, stop_ms, grace / startup.NS_PER_MS)
-    with contextlib.suppress(RuntimeError):  # no thread to be had: the end goes before what may still move
+    try:
         threading.Thread(
             target=partial(signals.heed_for_good, renewals.ask), name="signals", daemon=True
         ).start()
+    except RuntimeError as problem:  # the end goes before what may still move
+        counts.note("no_thread", part="signals", problem=str(problem))
     if not stopped.wait(max(0.0, (at + stop_ms) / 1000.0 - time.time())):
         log.error("stop_overrun", stop_ms=stop_ms)  # the module's thread is stuck; a kill is next
         return 1
