Doors: a connection that the system won't watch on is ended, and leaves the table

Cause: Lobby.come_back may raise OSError (epoll out of memory or watches); Connection.read let it out into the crew, and the connection stayed in the doors' table: neither read nor let go, its place lost for good and the drain waiting for it.

Before: test_a_connection_that_cannot_be_watched_again_is_ended_and_leaves_the_table fails (it never leaves). After: passes.

--- a/tests/crossings/test_crossed_doors.py
+++ b/tests/crossings/test_crossed_doors.py
@@ -213,3 +213,19 @@
     gate.open()
     assert went is None or went
     assert visitor.let_go.get(timeout=PATIENCE) or visitor.back.wait(PATIENCE)
+
+
+def test_a_connection_that_cannot_be_watched_again_is_ended_and_leaves_the_table(entrance):
+    """It was read, and the system refuses to watch it on: in the doors' table it would stay for good."""
+    doors = entrance.doors
+
+    def refuses(*given):
+        raise OSError(errno.ENOMEM, "no memory")
+
+    doors.lobby.epoll = Wrapped(doors.lobby.epoll, modify=refuses)
+    doors.begin()
+    caller = Balancer(entrance.port)
+    caller.send({"jsonrpc": "2.0", "id": 1, "method": "check"})
+    assert caller.hear()["id"] == 1 and caller.hear() is None
+    until(lambda: not doors.connections, "it leaves the table")
+    assert entrance.counts.by_name["connections_not_watched"] == 1
--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -66,10 +66,19 @@
     def read(self) -> None:
         """Until nothing more has come; then the lobby waits for the next word."""
         if self.read_on():
-            self.doors.lobby.come_back(self)
+            self.wait_on()
         else:
             self.read_to_end()
 
+    def wait_on(self) -> None:
+        """In the lobby, for the next word; one that can't wait there would be neither read nor let go."""
+        try:
+            self.doors.lobby.come_back(self)
+        except OSError as problem:
+            self.counts.note("connections_not_watched", problem=str(problem))
+            self.broken = True
+            self.read_to_end()
+
     def read_last(self) -> None:
         """It stayed too long; what has come meanwhile is taken all the same, and answered."""
         if self.begun < math.inf and not self.passing:
@@ -81,7 +90,7 @@
             # It spoke while it was being let go. More may come behind this from one that hasn't heard of it:
             # that would stand unread, and closing on it would reset the answer.
             self.last = False
-            self.doors.lobby.come_back(self)
+            self.wait_on()
             return
         if not self.heard:
             self.counts.add("connections_silent")
