--- a/vetchford/wire/balancers.py
+++ b/vetchford/wire/balancers.py
@@ -1,6 +1,5 @@
 """Balancers: the door where they connect, and an actor for each connection."""
 
-import contextlib
 import math
 import select
 import socket
@@ -464,8 +463,8 @@
     def close(self) -> None:
         """Takes in what has connected already, and nothing more; then asks all to close."""
         self.shutting = True
-        with contextlib.suppress(OSError), self.door:  # out of descriptors: the next sweep takes in the rest
-            for _ in range(BACKLOG):  # nor does a storm of newcomers hold up the module for longer than that
+        with self.door:
+            for _ in range(BACKLOG):  # a storm of newcomers holds up the module for no longer than that
                 if self.closed:
                     break
                 try:
@@ -476,6 +475,9 @@
                     self.sock.close()
                 except ConnectionAbortedError:
                     continue
+                except OSError as problem:  # out of descriptors: the next sweep takes in the rest
+                    self.counts.note("accept_failed", problem=str(problem))
+                    break
                 else:
                     self.enter(sock)
         with self.lock:
