Test of SIGHUP at the start: the second text is written only once the first was read

The test was wrong: opened while the first reader still held the pipe, the second text went to that one as well, and the start saw both. It now waits for 'serving' in between, which it did not ask for before: stricter by that line.

--- a/tests/crossings/test_crossed_signals.py
+++ b/tests/crossings/test_crossed_signals.py
@@ -55,6 +55,8 @@
             with opened_for_reading(pipe) as end:  # it is in the middle of its start
                 process.send_signal(signal.SIGHUP)
                 end.write(told)
+            # Opened while the first reader is there still, the pipe would give it both texts.
+            assert any("event=serving" in line for line in process.stdout)
             with opened_for_reading(pipe) as end:  # it serves, and reads anew as it was asked to
                 end.write(told)
             assert any("event=configuration_renewed" in line for line in process.stdout)
