Start: told to leave while the configuration is read, the program ends at once with 0

Cause: since signals are held from the first line on, a SIGTERM in the start waited until the configuration was read. Where the file never comes (a stuck mount, a pipe) nothing but the kill ended it. Faulty line: hold_signals in __main__.py, which held all three. Until the configuration is there SIGTERM and SIGINT now end the program with 0, as nothing has begun; SIGHUP is held as before.

Before: test_a_stop_before_the_configuration_is_read_ends_the_start_with_0 waits 20 s for nothing, on the real program. After: passes.

--- a/tests/crossings/test_crossed_signals.py
+++ b/tests/crossings/test_crossed_signals.py
@@ -67,6 +67,23 @@
             process.wait()
 
 
+def test_a_stop_before_the_configuration_is_read_ends_the_start_with_0(tmp_path):
+    pipe = tmp_path / "pipe.json"
+    os.mkfifo(pipe)
+    process = subprocess.Popen(
+        Running.COMMAND, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+        env={**os.environ, "ROUTER_CONFIG": str(pipe)},
+    )  # fmt: skip
+    try:
+        with opened_for_reading(pipe):  # it is in the middle of its start, and nothing is written there
+            process.terminate()
+            assert process.wait(PATIENCE) == 0, process.stdout.read()
+        assert process.stdout.read() == ""
+    finally:
+        process.kill()
+        process.wait()
+
+
 def test_a_slow_configuration_takes_nothing_from_the_stop_behind_it(server):
     server.config.unlink()
     os.mkfifo(server.config)
--- a/vetchford/__main__.py
+++ b/vetchford/__main__.py
@@ -4,9 +4,9 @@
 
 if "serve" in sys.argv[1:] and sys.argv[1] != "fleet":
     # Before all else is loaded: a SIGHUP in the first tenths of a second would end the program.
-    from vetchford.lifecycle.signals import hold_signals
+    from vetchford.lifecycle.signals import leave_until_held
 
-    hold_signals()
+    leave_until_held()
 
 from vetchford.cli import main
 
--- a/vetchford/lifecycle/signals.py
+++ b/vetchford/lifecycle/signals.py
@@ -3,10 +3,23 @@
 Loaded before all else, so it loads nothing itself that takes time.
 """
 
+import os
 import signal
 from collections.abc import Callable
 
-SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+TO_LEAVE = {signal.SIGTERM, signal.SIGINT}
+SIGNALS = {*TO_LEAVE, signal.SIGHUP}
+
+
+def leave_until_held() -> None:
+    """While nothing has begun there is nothing to drain: told to leave, the program ends at once.
+
+    Held like the others a SIGTERM would wait for as long as the configuration takes to be read, and a file
+    that never comes would have the start killed.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    for number in sorted(TO_LEAVE):
+        signal.signal(number, lambda *given: os._exit(0))
 
 
 def hold_signals() -> None:
