Records: a connection in steady use does not remember the task of each call for good

Cause: Line.had holds the tasks that had a call on a connection, and was emptied only by the connection's end; one used again within half a second never ends. Past 256 calls a connection is now given up for a new one.

Before: test_a_line_in_steady_use_does_not_remember_each_task_for_good counts 600 names after 600 calls. After: 256 at most.

--- a/tests/crossings/test_crossed_calls.py
+++ b/tests/crossings/test_crossed_calls.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from standins.gates import SHORT, Gate, Heard, HeldLock, beside
+from standins.gates import SHORT, Gate, Heard, HeldLock, beside, until
 from standins.peers import PATIENCE, RecordsPeer
 from vetchford.actors.counts import Counts
 from vetchford.wire.records import Records
@@ -14,7 +14,6 @@
     return host, int(port)
 
 
-
 def test_a_line_given_up_just_as_its_call_ended_takes_no_later_call():
     """unop has the line in hand; its reply arrives and it ends; then unop cuts it."""
     service, module = RecordsPeer(), Heard()
@@ -61,3 +60,19 @@
     gate.open()
     assert done.wait(PATIENCE)
     assert 2 not in records.out and not records.waiting  # else it is out, and nobody will give it up
+
+
+def test_a_line_in_steady_use_does_not_remember_each_task_for_good():
+    """One call after the other, each before its line has been idle for long: all could share it."""
+    service, module = RecordsPeer(), Heard()
+    records = Records(host_and_port(service.address), 8, module, Counts())
+    until_ms, lines, most = time.time() * 1000.0 + 60_000.0, set(), 0
+    for number in range(1, 601):
+        records.op(f"t{number}", number, until_ms, b"ask", False)
+        line = records.out[number]
+        lines.add(line)
+        service.take("OP")[3].sendall(b"t%d DONE 2\r\nok\r\n" % number)
+        assert module.take("call_ended") == (number, "completed", b"ok")
+        until(lambda number=number: number not in records.out, "its end is in the tables")
+        most = max(most, len(line.had))
+    assert most <= 256 and len(lines) < 100  # bounded, and still shared by many
--- a/vetchford/wire/records.py
+++ b/vetchford/wire/records.py
@@ -15,6 +15,7 @@
 
 FRESH = 0.5  # s since its last reply that a connection is used again: idle ones are closed or forgotten early
 KEPT = 4  # of its connections one in so many may wait for the next call; the others are there for calls
+MOST_HAD = 256  # calls on one connection, whose tasks it has to know; a new one costs less than a call does
 CONNECT = 1.0  # s: a connection that isn't accepted by then is taken as refused; no call was sent on it
 
 
@@ -97,12 +98,16 @@
         self.records, self.address = records, records.address
         self.sock: socket.socket | None = None
         self.inbox = Inbox(recordlines.MOST_REPLY + 2 * recordlines.MOST_LINE)
-        self.had: set[str] = set()  # tasks with a call on it before: a second copy would pass for their next
+        # Tasks with a call on it before: a second copy would pass for their next. Emptied by its own end,
+        # which MOST_HAD brings: in steady use it is never idle, and would remember each task for good.
+        self.had: set[str] = set()
         self.used, self.given_up = 0.0, False
 
     def good_for(self, name: str) -> bool:
         """Whether a call may follow the last one: soon after it, and with nothing come of itself."""
-        if name in self.had or time.monotonic() - self.used > FRESH or self.sock is None:
+        if self.sock is None or name in self.had or len(self.had) >= MOST_HAD:
+            return False
+        if time.monotonic() - self.used > FRESH:
             return False
         try:
             self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
