Configuration: brackets in brackets without end are refused in one line

Cause: json raises RecursionError for them, which is no ValueError: a traceback and status 1 instead of a line and status 2.

Before: test_brackets_in_brackets_without_end_are_refused_in_one_line fails. After: passes.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -180,6 +180,13 @@
     assert command("--version").stdout == command("--log-form", "json", "version").stdout
 
 
+def test_brackets_in_brackets_without_end_are_refused_in_one_line(tmp_path):
+    file = tmp_path / "config.json"
+    file.write_text("[" * 200_000)
+    out = command("check", "--config", str(file))
+    assert out.returncode == 2 and out.stderr.count("\n") == 1 and "no JSON" in out.stderr
+
+
 def test_every_event_stands_on_the_on_call_page_and_the_other_way_round():
     code = "".join(path.read_text() for path in sorted((ROOT / "vetchford").rglob("*.py")))
     said = set(re.findall(r"(?:log\.\w+|\.note|host\.count|talk\.count|self\.count)\(\s*\"(\w+)\"", code))
--- a/vetchford/lifecycle/configuration.py
+++ b/vetchford/lifecycle/configuration.py
@@ -58,7 +58,7 @@
             told = json.load(file)
     except OSError as problem:
         raise MalformedError(f"configuration file {path}: {problem.strerror}") from None
-    except ValueError as problem:
+    except (ValueError, RecursionError) as problem:  # the second: brackets in brackets without end
         raise MalformedError(f"configuration file {path}: no JSON: {problem}") from None
     if not isinstance(told, dict):
         raise MalformedError(f"configuration file {path}: not an object")
