Peers: a link that breaks as it is taken over is called for again, its number kept

Cause, by reading, then forced: serve set an option outside any try; where that raised in `dialled` the link stayed `calling`, which has no limit of time, and the pair had no stream for good. And write_out closed the socket while its reader might be just about to read: the number could be another connection's by then. The writer now waits for the reader's end first.

--- a/vetchford/peers/talk.py
+++ b/vetchford/peers/talk.py
@@ -46,6 +46,7 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.outbox, self.ready, self.open = sock, Outbox(), threading.Condition(), True
+        self.read_out = threading.Event()  # its reader is through
 
     def put(self, kind: str, data: bytes) -> int:
         with self.ready:
@@ -149,10 +150,11 @@
         def act() -> None:
             try:
                 sock = socket.create_connection(self.addresses[peer], DIALS, (self.here[0], 0))
-            except OSError as problem:
-                self.actor.tell(self.ended, link, f"no connection: {problem.strerror or problem}")
+                sock.settimeout(None)
+            except Exception as problem:  # whatever it is: a dial without an end would never be made again
+                why = getattr(problem, "strerror", None) or problem
+                self.actor.tell(self.ended, link, f"no connection: {why}")
                 return
-            sock.settimeout(None)
             self.actor.tell(self.dialled, link, sock)
 
         begin_thread(act, "peers-dial", self.counts)
@@ -204,8 +206,8 @@
         if link not in self.decide.links:
             sock.close()
             return
-        self.serve(link, sock)
-        self.decide.opened(self.now(), link)
+        if self.serve(link, sock):
+            self.decide.opened(self.now(), link)
 
     def taken(self, sock: socket.socket, address: str) -> None:
         link = self.decide.accepted(self.now(), address)
@@ -214,11 +216,17 @@
             return
         self.serve(link, sock)
 
-    def serve(self, link: int, sock: socket.socket) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    def serve(self, link: int, sock: socket.socket) -> bool:
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as problem:  # reset by now: untold, the link would be held for one that is being made
+            sock.close()
+            self.ended(link, str(problem.strerror or problem))
+            return False
         wire = self.wires[link] = Wire(sock)
         begin_thread(lambda: self.read(link, wire), "peers-read", self.counts)
         begin_thread(lambda: self.write_out(link, wire), "peers-write", self.counts)
+        return True
 
     def ended(self, link: int, why: str) -> None:
         self.decide.closed(self.now(), link, why)
@@ -272,6 +280,8 @@
             why = f"an unreadable message: {problem}"
         except OSError as problem:
             why = str(problem.strerror or problem)
+        finally:
+            wire.read_out.set()
         self.actor.tell(self.ended, link, why)
 
     def write_out(self, link: int, wire: Wire) -> None:
@@ -286,4 +296,6 @@
                 wire.sock.sendall(data)
         except OSError as problem:
             self.actor.tell(self.ended, link, str(problem.strerror or problem))
+        wire.shut()  # wakes the reader
+        wire.read_out.wait()  # closed under it, its number could be another connection's as it reads on
         wire.sock.close()
