Peers: an infinite number in a message is counted as malformed, and breaks no actor

Cause: int() of an infinity raises OverflowError, which none of the four places that take bodies apart caught: in the debug build the actor's thread ended, in the release build an entry broke. The list of what a wrong form raises stands in frames.py once. Ruled out by the same test: words that are no UTF-8 are refused by the decoder already.

--- a/vetchford/fleet/joined.py
+++ b/vetchford/fleet/joined.py
@@ -21,6 +21,7 @@
 from vetchford.fleet.decide import Change, Fleet, RefusedError
 from vetchford.fleet.store import Store
 from vetchford.peers.decide import UP
+from vetchford.peers.frames import MALFORMED
 from vetchford.peers.talk import Talk
 
 log = structlog.get_logger()
@@ -95,7 +96,7 @@
     def word(self, peer: str, kind: str, body: Any) -> None:
         try:
             self.across.heard(self.now(), peer, kind, body)
-        except (KeyError, TypeError, ValueError, IndexError, AttributeError) as problem:
+        except MALFORMED as problem:
             self.counts.note(
                 "peer_malformed", peer=peer, kind=kind, problem=f"{type(problem).__name__}: {problem}"
             )
@@ -105,7 +106,7 @@
             kind, number, about, news = body
             pieces = [(str(name), str(state), int(at)) for name, state, at in news]
             self.views.heard(self.now(), peer, str(kind), int(number), str(about), pieces)
-        except (KeyError, TypeError, ValueError) as problem:
+        except MALFORMED as problem:
             self.counts.note("peer_malformed", peer=peer, kind="news", problem=str(problem))
 
     def linked(self, peer: str, state: str) -> None:
--- a/vetchford/neighbours/actor.py
+++ b/vetchford/neighbours/actor.py
@@ -16,6 +16,7 @@
 from vetchford.actors.counts import Counts
 from vetchford.fleet.membership import ALIVE, DEAD, SUSPECT, Membership, News
 from vetchford.neighbours.measure import Measure
+from vetchford.peers.frames import MALFORMED
 from vetchford.peers.talk import Talk
 from vetchford.signals.conclude import DEAD_NOW, FIGURES, PROBE, Conclusions, Numbers
 from vetchford.signals.decide import Row, Signals
@@ -213,7 +214,7 @@
                 self.signals.heard(self.now(), peer, rest[0])
             elif kind == "turn":
                 self.turn_heard(peer, rest[0])
-        except (KeyError, TypeError, ValueError, IndexError, AttributeError) as problem:
+        except MALFORMED as problem:
             self.counts.note("peer_malformed", peer=peer, kind="datagram", problem=str(problem))
 
     def word(self, peer: str, kind: str, body: Any) -> None:
--- a/vetchford/peers/frames.py
+++ b/vetchford/peers/frames.py
@@ -21,6 +21,8 @@
     """A frame that can't be followed; the text is one word of `WRONG`."""
 
 
+# What a body of the wrong form raises in whoever takes it apart; the last for an infinity as a number.
+MALFORMED = (KeyError, TypeError, ValueError, IndexError, AttributeError, OverflowError)
 WRONG = ("no_frame", "other_version", "too_long", "spoilt", "malformed")
 
 
--- a/vetchford/peers/talk.py
+++ b/vetchford/peers/talk.py
@@ -241,7 +241,7 @@
             try:
                 life, nonce = envelope.body
                 self.decide.compare(int(life), int(nonce))
-            except (TypeError, ValueError):
+            except frames.MALFORMED:
                 self.count("peer_refused", why="malformed", peer=envelope.sender)
         else:
             self.owner.datagram(envelope.sender, envelope.body)
