--- /dev/null
+++ b/tests/crossings/test_crossed_peers.py
@@ -0,0 +1,146 @@
+"""What our own programs say to each other, between two lines, on loopback. Rows: docs/crossings.md."""
+
+import math
+import queue
+import socket
+import threading
+
+import pytest
+import xxhash
+
+from standins.gates import SHORT, Gate, Wrapped, until
+from standins.peers import PATIENCE
+from vetchford.actors.actor import Actor
+from vetchford.actors.counts import Counts
+from vetchford.neighbours.actor import Neighbours
+from vetchford.peers import frames
+from vetchford.peers.decide import CALLING, OFF
+from vetchford.peers.frames import HEAD, MAGIC, VERSION, Envelope
+from vetchford.peers.talk import Talk
+from vetchford.signals.conclude import PROBE
+
+
+class Side:
+    """One program "a" that knows "b": its talk, an actor, and what it is brought."""
+
+    def __init__(self):
+        self.counts, self.brought = Counts(), queue.Queue()
+        self.actor = Actor("a", self.counts)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+        self.talk = Talk(
+            self.actor, self, self.counts, "pay", "a", f"127.0.0.1:{self.port}", {"b": "127.0.0.1:9"}, 1, 1, 1
+        )
+
+    def datagram(self, peer, body):
+        self.brought.put((peer, body))
+
+    def linked(self, peer, state): ...
+
+    def met(self, peer, life, nonce): ...
+
+    def begin(self):
+        self.actor.begin()
+        self.talk.begin()
+
+    def throw(self, data):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.sendto(data, ("127.0.0.1", self.port))
+
+
+@pytest.fixture
+def side():
+    one = Side()
+    yield one
+    one.talk.listener.close()
+    one.talk.datagrams.close()
+
+
+def said(sequence, kind="news", body="word"):
+    return Envelope("pay", "b", 1, 7, sequence, kind, body)
+
+
+def test_a_dialled_connection_reset_before_its_option_is_set_is_called_for_again(side):
+    """It stands, and breaks before the actor has taken it over."""
+    peers = side.talk.decide
+    number = peers.peers["b"].link = peers.begin(0.0, "b", CALLING)
+    peers.to("b", CALLING)
+    mine, _ = socket.socketpair()
+
+    def refuses(*given):
+        raise OSError(22, "Invalid argument")
+
+    side.talk.dialled(number, Wrapped(mine, setsockopt=refuses))
+    assert not peers.links and peers.peers["b"].state == OFF
+    dialled = []
+    side.talk.dial = lambda peer, link: dialled.append(peer)
+    peers.woke(1e12)
+    assert dialled == ["b"]
+
+
+def test_a_connection_that_is_shut_keeps_its_number_until_its_reader_is_through(side):
+    """The reader is just about to read; closed now, its number could be the next connection's."""
+    peers, gate, closed = side.talk.decide, Gate(), threading.Event()
+    mine, _ = socket.socketpair()
+    wrapped = Wrapped(
+        mine, recv=gate.before(mine.recv), close=closed.set, setsockopt=lambda *given: None
+    )
+    number = peers.accepted(0.0, "127.0.0.1")
+    side.talk.serve(number, wrapped)
+    gate.wait()
+    side.talk.shut(number)
+    assert not closed.wait(SHORT)
+    gate.open()
+    assert closed.wait(PATIENCE)
+    mine.close()
+
+
+def spoilt_words(envelope):
+    """The same with a name that is no UTF-8, and a checksum that fits it."""
+    body = frames.encoder.encode(envelope).replace(b"news", b"\xff\xfe\xfd\xfc")
+    return HEAD.pack(MAGIC, VERSION, 0, len(body), xxhash.xxh3_64_intdigest(body)) + body
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        spoilt_words(said(1)),
+        frames.packed(said(1, "life", [math.inf, 1])),
+        frames.packed(said(1, "life", {"life": 1})),
+    ],
+    ids=["no UTF-8", "an infinite life", "no list"],
+)
+def test_a_datagram_of_the_wrong_form_deafens_nobody(side, bad):
+    side.begin()
+    side.throw(bad)
+    until(lambda: any("malformed" in name for name in side.counts.by_name), "it is refused and counted")
+    side.throw(frames.packed(said(2)))
+    assert side.brought.get(timeout=PATIENCE) == ("b", "word")
+
+
+def neighbours():
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    servers = {"a": f"127.0.0.1:{port}", "b": "127.0.0.1:9"}
+    told = {
+        "name": "a", "fleet": "pay", "listen": servers["a"], "servers": servers, "keepers": ["a", "b"],
+        "turns": {}, "probes": 1, "zone": "", "records": True, "full": True,
+    }  # fmt: skip
+    return Neighbours(told, 1, Counts(), lambda tell: None, lambda numbers: None)
+
+
+def test_a_service_held_for_dead_in_a_drain_takes_no_turn_that_its_end_would_keep():
+    """The turn is given back at the notice; then the records service is held for dead."""
+    one = neighbours()
+    one.want_probe()
+    assert PROBE in one.taker.wishes
+    one.leave()
+    one.conclusions.to(one.now(), "dead", "its calls are lost")
+    assert not one.taker.wishes
+
+
+def test_an_infinite_number_in_a_view_is_counted_and_no_more():
+    one = neighbours()
+    one.datagram("b", ["view", "ping", math.inf, "", []])
+    one.datagram("b", ["view", "ping", 1, "", [["b", "alive", math.inf]]])
+    assert one.counts.by_name["peer_malformed"] == 2
--- a/vetchford/neighbours/actor.py
+++ b/vetchford/neighbours/actor.py
@@ -79,6 +79,7 @@
         self.seed, self.raised = told["fleet"], []
         self.next_turn, self.next_survey, self.next_summary = 0.0, 0.0, now + SUMMARY
         self.numbers, self.lost = Numbers(), 0.0
+        self.leaving = False
         self.seen_changed()
 
     def begin(self) -> None:
@@ -133,7 +134,8 @@
         log.info("together_renewed", records=told["records"], full=told["full"])
 
     def leave(self) -> None:
-        """In a drain: turns go back at once, not as their leases end."""
+        """In a drain: turns go back at once, not as their leases end, and none is asked for any more."""
+        self.leaving = True
         for turn in list(self.taker.wishes):
             self.taker.done(self.now(), turn)
 
@@ -186,6 +188,8 @@
             self.keeper.heard(self.now(), sender, body)
 
     def want_probe(self) -> None:
+        if self.leaving:  # its end would keep the turn from all others for a lease
+            return
         self.taker.want(self.now(), PROBE)
 
     def done_probe(self) -> None:
