--- a/vetchford/fleet/agent.py
+++ b/vetchford/fleet/agent.py
@@ -8,6 +8,7 @@
 import fcntl
 import json
 import os
+import re
 import select
 import signal
 import socket
@@ -37,6 +38,7 @@
 STACK = 512 * 1024  # bytes a thread: a few for each peer, and the store's calls nest deepest
 MOST_LINE = 1 << 20  # bytes of a command
 CLIENTS = 64  # tools at once; more wait in the backlog
+SERVING_SAID = re.compile(rb'"serving":\s*(true|false)')
 CHECK_BODY = b'{"jsonrpc":"2.0","id":1,"method":"check"}'
 ASKED = ("status", "change", "pause", "resume", "abort", "history", "explain", "find")
 
@@ -317,21 +319,22 @@
 
 
 def ready(address: str) -> bool:
-    """Whether a server there says that it serves."""
+    """Whether a server there says that it serves, within CHECK_WAITS, in however many pieces."""
     host, _, port = address.rpartition(":")
+    until, heard, said = time.monotonic() + CHECK_WAITS, b"", None
     try:
         with socket.create_connection((host, int(port)), CHECK_WAITS) as sock:
-            sock.settimeout(CHECK_WAITS)
             sock.sendall(b"Content-Length: %d\r\n\r\n%b" % (len(CHECK_BODY), CHECK_BODY))
-            heard = b""
-            while b'"serving":' not in heard and len(heard) < 4096:
+            while said is None and len(heard) < 4096 and (left := until - time.monotonic()) > 0.0:
+                sock.settimeout(left)  # for all of it: one that answers a byte a second holds up a checker
                 more = sock.recv(4096)
                 if not more:
-                    return False
+                    break
                 heard += more
-            return b'"serving":true' in heard
+                said = SERVING_SAID.search(heard)  # whole: half a word is no verdict yet
     except OSError:
         return False
+    return said is not None and said[1] == b"true"
 
 
 def listen(path: str) -> socket.socket:
