Agent: where no thread is to be had, ready checks go on once there is

Cause: ThreadPoolExecutor.submit raises RuntimeError where no thread can be started, and the thread that hands out checks ended with it: no instance was checked any more.

Before: test_where_no_thread_is_to_be_had_checks_go_on_once_there_is waits for good. After: passes.

--- a/vetchford/fleet/agent.py
+++ b/vetchford/fleet/agent.py
@@ -15,13 +15,13 @@
 import threading
 import time
 import uuid
-from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from queue import Queue
 from typing import Any
 
 import structlog
 
-from vetchford.actors.actor import Actor
+from vetchford.actors.actor import Actor, Crew
 from vetchford.actors.clock import clock
 from vetchford.actors.counts import Counts
 from vetchford.fleet import processes
@@ -200,13 +200,22 @@
             self.fleet.exited(self.now(), name, process.ended())
 
     def check_all(self) -> None:
-        with ThreadPoolExecutor(CHECKERS) as crew:
-            asked: dict[str, Any] = {}
-            while True:
-                for name, process in list(self.ours.items()):
-                    if name not in asked or asked[name].done():
-                        asked[name] = crew.submit(self.check, name, process)
-                time.sleep(CHECK)
+        # A crew of ours: where no thread is to be had, its work waits for one that is busy, and goes on.
+        crew, asked = Crew(self.counts, CHECKERS), set[str]()  # whose check is under way; emptied by its end
+        crew.begin()
+
+        def act(name: str, process: processes.Process) -> None:
+            try:
+                self.check(name, process)
+            finally:
+                asked.discard(name)
+
+        while True:
+            for name, process in list(self.ours.items()):
+                if name not in asked:
+                    asked.add(name)
+                    crew.run(partial(act, name, process))
+            time.sleep(CHECK)
 
     def check(self, name: str, process: processes.Process) -> None:
         good = ready(self.specs[name]["listen"])
