Agent: a kill of an adopted instance hits nobody who has its number by now

Cause: `kill` named the session by the process's number alone. An adopted instance is reaped by another, so between its end and the agent's reading of it the number may lead another session. The start time is compared first, as everywhere else there.

Before: test_a_kill_behind_the_end_of_an_adopted_one_... finds the other one killed by SIGKILL. After: it lives.

--- a/vetchford/fleet/agent.py
+++ b/vetchford/fleet/agent.py
@@ -131,9 +131,7 @@
 
     def kill(self, name: str) -> None:
         if name in self.ours:
-            with contextlib.suppress(OSError):  # all of its session; alone where it leads none any more
-                os.killpg(self.ours[name].pid, signal.SIGKILL)
-            self.ours[name].signal(signal.SIGKILL)
+            self.ours[name].kill()
 
     def note(self, event: str, **fields: Any) -> None:
         log.info(event, **fields)
--- a/vetchford/fleet/processes.py
+++ b/vetchford/fleet/processes.py
@@ -26,6 +26,17 @@
         with contextlib.suppress(ProcessLookupError):  # it has ended, and its end is about to be read
             signal.pidfd_send_signal(self.pidfd, number)
 
+    def kill(self) -> None:
+        """All of its session; itself alone where its number is another's by now.
+
+        An adopted one may be gone from the process table before its end is read here, and its number given to
+        the leader of another session. What is left of its own session keeps the number from being given out.
+        """
+        if began(self.pid) in (self.began, None):
+            with contextlib.suppress(OSError):  # it leads none any more
+                os.killpg(self.pid, signal.SIGKILL)
+        self.signal(signal.SIGKILL)
+
     def ended(self) -> int | None:
         """Its status, where it is our child's; closes what was held of it."""
         os.close(self.pidfd)
