Agent: a socket that is gone and a history that can't be read end no thread

Cause: the unlink at the end raised where somebody had taken the socket away (a traceback, status 1); sqlite3.Error of `history` and `all` is no OSError: a tool's question ended the agent's thread in the debug build and had the tool wait 30 s, and at the start it was a traceback instead of a line.

Before: test_an_agent_whose_socket_was_taken_away_... and test_a_history_that_cannot_be_read_... fail.

--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -185,6 +185,16 @@
         assert other.returncode == 1 and "another agent has it" in other.stderr
 
 
+def test_an_agent_whose_socket_was_taken_away_leaves_as_always(tmp_path):
+    machine = Machine(tmp_path, ["good"]).begin()
+    try:
+        os.unlink(machine.socket)
+        machine.agent.terminate()
+        assert machine.agent.wait(PATIENCE) == 0, (tmp_path / "agent.log").read_text()
+    finally:
+        machine.kill()
+
+
 def test_an_agent_that_is_not_there_is_unknown_and_holds_up_no_other(tmp_path):
     with Machine(tmp_path, ["good"]) as machine:
         ran = machine.tool("--socket", str(tmp_path / "nobody"), "status", check=False)
@@ -229,6 +239,18 @@
     assert ("instance", "n1", {"wanted": True}) in store.all()
 
 
+def test_a_history_that_cannot_be_read_refuses_the_question_and_no_more(tmp_path):
+    store = Store(str(tmp_path / "store"))
+    store.put("instance", "n0", {"wanted": True})
+    store.base.execute("DROP TABLE history")
+    with pytest.raises(OSError, match="no such table"):
+        store.history(5)
+    assert [name for _, name, _ in store.all()] == ["n0"]
+    store.base.execute("DROP TABLE newest")
+    with pytest.raises(StoreError, match="move it away"):
+        store.all()
+
+
 def test_a_long_log_is_turned_over_and_its_writer_goes_on(tmp_path):
     path = str(tmp_path / "n1.log")
     assert not processes.turn_over(path, 100)  # not there yet
--- a/vetchford/fleet/agent.py
+++ b/vetchford/fleet/agent.py
@@ -416,6 +416,7 @@
         log.info("agent_joins", fleet=told["peers"]["fleet"], name=agent.joined.name, life=agent.joined.life)
     while not leaving.wait(0.2):
         pass  # in short waits: a handler runs in this thread alone
-    os.unlink(told["socket"])
+    with contextlib.suppress(FileNotFoundError):  # somebody was sooner
+        os.unlink(told["socket"])
     log.info("agent_stopped", left_running=len(agent.ours))
     return 0
--- a/vetchford/fleet/store.py
+++ b/vetchford/fleet/store.py
@@ -83,9 +83,13 @@
     def all(self) -> list[tuple[str, str, dict[str, Any]]]:
         """Kind, name and body of each, in the order they were first put."""
         out = []
-        for kind, name, text, total in self.base.execute(
-            "SELECT kind, name, body, sum FROM newest ORDER BY rowid"
-        ):
+        try:
+            rows = self.base.execute("SELECT kind, name, body, sum FROM newest ORDER BY rowid").fetchall()
+        except sqlite3.Error as problem:
+            raise StoreError(
+                f"store {self.path}: {problem}; move it away to begin anew, or restore a copy"
+            ) from None
+        for kind, name, text, total in rows:
             if summed(text) != total:
                 raise StoreError(
                     f"store {self.path}: the record of {kind} {name} is not what was written; "
@@ -95,10 +99,12 @@
         return out
 
     def history(self, most: int) -> list[dict[str, Any]]:
-        """The last entries, the newest first."""
-        rows = self.base.execute(
-            "SELECT at, kind, name, body FROM history ORDER BY rowid DESC LIMIT ?", (most,)
-        )
+        """The last entries, the newest first. OSError where the disk fails."""
+        wanted = "SELECT at, kind, name, body FROM history ORDER BY rowid DESC LIMIT ?"
+        try:
+            rows = self.base.execute(wanted, (most,)).fetchall()
+        except sqlite3.Error as problem:  # a tool's question alone: no reason for the agent's thread to end
+            raise OSError(f"store {self.path}: {problem}") from None
         return [
             {"at": at, "kind": kind, "name": name, "body": json.loads(body)} for at, kind, name, body in rows
         ]
