Changes: one that hangs in its drain is killed also where its change was aborted

Cause: an abort sets a time to come back for what is draining; from then on the first branch of `woke` was taken in every turn (`come` returns at once for one that still runs), and the branch with the stop time never: it hung for good.

Before: test_one_that_hangs_in_its_drain_is_killed_also_... sees no kill in 2.5 s of its clock. After: killed at its stop time, started anew.

--- a/vetchford/fleet/decide.py
+++ b/vetchford/fleet/decide.py
@@ -206,11 +206,10 @@
     def woke(self, now: float) -> None:
         """Several times a second."""
         for instance in self.instances.values():
-            if instance.again_at and now >= instance.again_at and instance.wanted:
-                try:
-                    self.come(now, instance, "restarted")
-                except OSError as problem:  # not on record, so not begun; asked again while the store can't
-                    instance.again_at, instance.why = now + STORE_AGAIN, f"the store failed: {problem}"
+            # One that still runs comes later: while it hangs in its drain, its stop time is what counts.
+            comes = instance.wanted and instance.state not in ALIVE
+            if comes and instance.again_at and now >= instance.again_at:
+                self.try_to_come(now, instance, "restarted")
             elif instance.state == STARTING and now >= instance.deadline:
                 self.leave(now, instance, "not ready in its time")
                 if instance.wanted and not self.owner(instance.name):
@@ -233,6 +232,12 @@
                 self.host.kill(instance.name)
         self.go_on(now)
 
+    def try_to_come(self, now: float, instance: Instance, why: str) -> None:
+        try:
+            self.come(now, instance, why)
+        except OSError as problem:  # not on record, so not begun; asked again while the store can't
+            instance.again_at, instance.why = now + STORE_AGAIN, f"the store failed: {problem}"
+
     def come(self, now: float, instance: Instance, why: str) -> None:
         if instance.state in ALIVE:
             return  # never a second process of it
