Changes: a way back that is paused goes on back once it is resumed

Cause: `resume` always turned a change to `running`: what had gone back stayed, the rest was rolled forward, and it ended as finished with two versions. The record now says that it goes back, only while it does, so that programs of before read all other records.

Before: test_a_way_back_that_is_paused_goes_on_back_once_resumed_also_by_the_next_agent ends as finished. After: broken, gone back, all on the version before.

--- a/vetchford/fleet/decide.py
+++ b/vetchford/fleet/decide.py
@@ -110,6 +110,14 @@
     was_up: dict[str, bool] = field(default_factory=dict)
     why: str = ""
     killed: list[str] = field(default_factory=list)  # those that had to be
+    back: bool = False  # it goes back, also after a pause
+
+    def kept(self) -> dict[str, Any]:
+        """What must outlive the agent."""
+        body = asdict(self)
+        if not self.back:
+            del body["back"]  # programs of before it was there read all other records
+        return body
 
 
 class Fleet:
@@ -135,7 +143,7 @@
             instance.wanted, instance.killed = body["wanted"], body["killed"]
             instance.version = body["version"] or instance.version
         elif kind == "change":
-            self.changes[name] = Change(**body)
+            self.changes[name] = Change(**{"back": body["state"] == BACK, **body})
 
     def found(self, now: float, name: str, version: str | None) -> None:
         """What the process table says of it: the version that runs, or None. Told once for each at first."""
@@ -310,7 +318,7 @@
             change.steps[name] = PENDING
             change.before[name] = instance.version
             change.was_up[name] = instance.wanted
-        self.host.record("change", change.id, asdict(change))
+        self.host.record("change", change.id, change.kept())
         self.changes[change.id] = change
         self.host.note("change_begins", change=change.id, kind=change.kind, targets=len(change.targets))
         self.go_on(now)
@@ -343,7 +351,7 @@
                 if step == LOST or failed:  # tried once more
                     change.steps[name] = PENDING
                     self.instances[name].restarts = 0
-            self.turn(change, RUNNING, "asked to")
+            self.turn(change, BACK if change.back else RUNNING, "asked to")
             self.go_on(now)
         return change
 
@@ -374,15 +382,15 @@
 
     def turn(self, change: Change, state: str, why: str) -> None:
         self.host.note("change_moved", change=change.id, was=change.state, now=state, why=why)
-        change.state, change.why = state, why
-        self.host.record("change", change.id, asdict(change))
+        change.state, change.why, change.back = state, why, change.back or state == BACK
+        self.host.record("change", change.id, change.kept())
         if state in ENDED:
             self.next_start.pop(change.id, None)
 
     def step(self, change: Change, name: str, step: str) -> None:
         before, change.steps[name] = change.steps[name], step
         try:
-            self.host.record("change", change.id, asdict(change))
+            self.host.record("change", change.id, change.kept())
         except OSError:
             change.steps[name] = before  # what is not on record has not been decided
             raise
