--- a/tests/crossings/test_crossed_agent.py
+++ b/tests/crossings/test_crossed_agent.py
@@ -230,6 +230,19 @@
     assert fleet.instances["a"].state == decide.STARTING
 
 
+def test_a_pause_that_the_store_cannot_take_holds_and_is_logged():
+    world, fleet = up()
+    fleet.ask(10.0, Change("r", "restart", ["a", "b"], soak=0.0))
+    noted = []
+    world.note = lambda event, **fields: noted.append((event, fields.get("now")))
+    world.full = True
+    with pytest.raises(OSError):
+        fleet.pause(20.0, "r")
+    assert fleet.changes["r"].state == decide.PAUSED and noted == [("change_moved", decide.PAUSED)]
+    fleet.exited(30.0, "a", 0)
+    assert fleet.instances["a"].state == decide.STOPPED  # nothing more is begun
+
+
 def test_a_store_that_fails_in_the_middle_of_an_abort_keeps_no_instance_down():
     """The change is on record as aborted; what follows for its instances is not."""
     world, fleet = up()
--- a/vetchford/fleet/decide.py
+++ b/vetchford/fleet/decide.py
@@ -388,8 +388,10 @@
         try:
             self.host.record("change", change.id, change.kept())
         except OSError:
-            if state != PAUSED:  # what is not on record has not been decided; a pause holds all the same
+            if state != PAUSED:  # what is not on record has not been decided
                 change.state, change.why, change.back = before
+            else:  # a pause holds all the same, and whoever reads the log must see it
+                self.host.note("change_moved", change=change.id, was=before[0], now=state, why=why)
             raise
         self.host.note("change_moved", change=change.id, was=before[0], now=state, why=why)
         if state in ENDED:
