Worker pool: log which commands are sent again on a new link

The counter commands_sent_again can't tell whether the second run comes from a command that is sent again though it had arrived, from one that was confirmed and is sent again all the same, from bytes that the client writes twice, or from a command that was never sent before.

Change: one line for each new link, pool_commands_unconfirmed, with the last confirmed poll and, for up to 16 commands, the link and the poll that they were sent behind.

--- a/vetchford/server/worker_pool_commands.py
+++ b/vetchford/server/worker_pool_commands.py
@@ -1,11 +1,16 @@
 """Sends commands to the worker pool, and sends them again if a link breaks before they are confirmed."""
 
+import structlog
+
 from vetchford.protocol import worker_pool_lines
 from vetchford.runtime.metrics import Metrics
 from vetchford.server.request_table import RequestEntry, RequestTable
 from vetchford.server.worker_pool import WorkerPoolClient
 
+log = structlog.get_logger()
+
 MAX_CLIENT_BACKLOG = 64  # entries in the client's mailbox; far more than the commands of one tick
+MAX_LOGGED_COMMANDS = 16  # in the line about the unconfirmed commands of a link
 
 
 class WorkerPoolCommands:
@@ -93,6 +98,7 @@
 
     def _send_unconfirmed(self) -> None:
         """Send again the commands that may not have arrived on the last link and that no notice confirms."""
+        sent_again = []
         for entry in self.requests.entries:
             if entry is None or entry.command is None:
                 continue
@@ -102,7 +108,16 @@
                 entry.command = None
                 continue
             self.metrics.increment("commands_sent_again")
+            sent_again.append(f"{entry.request_id}@{entry.command_link}-{entry.command_poll}")
             self.send(entry, entry.command)
+        if sent_again:
+            log.warning(
+                "pool_commands_unconfirmed",
+                link=self.link,
+                confirmed=f"{self.confirmed_link}-{self.confirmed_poll}",
+                sent_again=len(sent_again),
+                tasks=",".join(sent_again[:MAX_LOGGED_COMMANDS]),
+            )
 
     def _is_confirmed(self, entry: RequestEntry) -> bool:
         return entry.command_link == self.confirmed_link and entry.command_poll < self.confirmed_poll
