Idempotency cache: a repeat belongs to the original in whose window it arrived

What callers would see: a keyed request runs twice on one server.

Cause: the cache had one original for each key. Once its window had passed and the key came again, the new request replaced it. A repeat that had arrived within the first window but was read later was then taken for a repeat of the new one, took its place in the queue and ran, though the first one had run (IdempotencyCache.remember).

Change: a key keeps its originals until they are released; the earliest one in whose window a repeat arrived is the one that it repeats.

--- a/vetchford/server/idempotency_cache.py
+++ b/vetchford/server/idempotency_cache.py
@@ -18,7 +18,10 @@
 
 
 class IdempotencyCache:
-    """Maps each idempotency key to its original request, and the original to the requests that wait for it.
+    """Maps each idempotency key to its original requests, and an original to the requests that wait for it.
+
+    A key has several originals where its window has passed and the client used it again. An earlier original
+    is kept, as a repeat that arrived within its window may be read after the next original.
 
     Entries are removed by `forget` (the original never ran) and by `release` (the key's window and one
     request timeout have passed). Used only on the admission actor's thread.
@@ -26,17 +29,14 @@
 
     def __init__(self) -> None:
         """Create an empty cache."""
-        self.entries: dict[str, KeyEntry] = {}
+        self.entries: dict[str, list[KeyEntry]] = {}  # the earliest original of a key first
         self.keys: dict[int, str] = {}  # key of each entry, by request index
         self.results: dict[int, RunResult] = {}  # results of ended originals, by request index
         self.followers: dict[int, list[int]] = {}  # requests that wait for an original's run, by its index
 
     def remember(self, key: str, index: int, expires_unix_ms: float) -> None:
-        """Make the request the original for `key` until `expires_unix_ms`, replacing any previous one."""
-        previous = self.entries.get(key)
-        if previous is not None:
-            self.keys.pop(previous.request_index, None)
-        self.entries[key] = KeyEntry(index, expires_unix_ms)
+        """Make the request the original for `key` until `expires_unix_ms`, behind its earlier originals."""
+        self.entries.setdefault(key, []).append(KeyEntry(index, expires_unix_ms))
         self.keys[index] = key
 
     def find_original(self, key: str, arrived_at_unix_ms: float) -> int | None:
@@ -44,15 +44,20 @@
 
         The arrival time decides, not the time at which the request is read.
         """
-        entry = self.entries.get(key)
-        return (
-            entry.request_index if entry is not None and arrived_at_unix_ms <= entry.expires_unix_ms else None
-        )
+        for entry in self.entries.get(key, ()):
+            if arrived_at_unix_ms <= entry.expires_unix_ms:
+                return entry.request_index
+        return None
 
     def forget(self, index: int) -> None:
         """Drop the key of a request; later requests with this key are no repeats of it."""
         key = self.keys.pop(index, None)
-        if key is not None and self.entries[key].request_index == index:
+        if key is None:
+            return
+        kept = [entry for entry in self.entries[key] if entry.request_index != index]
+        if kept:
+            self.entries[key] = kept
+        else:
             del self.entries[key]
 
     def run_ended(self, index: int, result: RunResult) -> list[int]:
