Worker pool: send an unconfirmed command again only if a second copy is harmless

Cause: WorkerPoolCommands sent each unconfirmed command again on the next link. The run of such a spawn may end between the answer to the link's first poll and the second spawn, which then starts a second run. An unconfirmed supply has the same cause: the run may be at its next call, which got the reply of the last, for idempotent classes as well. A pass names its call and is safe.

Change: a command knows its kind and whether it is repeatable. Those that are not are reported to the controller (start_unconfirmed, reply_unconfirmed). A run that then reports nothing within the stall time is given up (admission/unconfirmed_commands.py): its request is failed, also at its deadline if that is earlier, a lost start frees its slot and memory, and its key stays, so no repeat runs. A class that may do without its call gets a pass. Commands of which no byte was written are told apart by the client and are sent. A lost link is shut down before its loss is posted and closed by the writing actor, so nothing is written to it after that.

The model's check that links broke before commands were confirmed now counts those sent again and those not sent again.

--- a/testkit/fakes/peers.py
+++ b/testkit/fakes/peers.py
@@ -127,6 +127,7 @@
         self.last_number = 0
         self.sock: socket.socket | None = None
         self.answered_polls = 0
+        self.answers_polls = True
         self.up = threading.Event()
         if up:
             self.up.set()
@@ -137,6 +138,8 @@
         for line in lines_until_end(lines):
             message = json.loads(line)
             if message["type"] == "poll":
+                if not self.answers_polls:
+                    continue
                 self.send({"type": "polled", "ref": message["ref"], "gauges": [0.2, 0]})
                 self.answered_polls += 1
                 continue
@@ -147,6 +150,7 @@
     def _bind(self, sock: socket.socket, last_read_number: int) -> None:
         self.up.wait()
         self.sock = sock
+        self.answers_polls = True
         self.send({"type": "bound", "state": "chilly" if self.cold else "hot", "took": STARTED_MS_AGO})
         for notice in self.notices:
             if notice["n"] > last_read_number:
@@ -175,6 +179,10 @@
         """Send the notice that a run waits for a dependency call."""
         self.notify("blocked", job, data=base64.b64encode(data).decode())
 
+    def ignore_polls(self) -> None:
+        """Answer no poll until the next connection is bound, so that no command is confirmed."""
+        self.answers_polls = False
+
     def disconnect(self) -> None:
         """Close the connection to the server."""
         assert self.sock is not None, "no server has connected to the worker pool"
--- a/tests/server/test_admission_actor.py
+++ b/tests/server/test_admission_actor.py
@@ -8,6 +8,7 @@
 import pytest
 from helpers import SETTINGS, Recorder
 
+from vetchford.admission.request import RequestState
 from vetchford.protocol import platform_settings
 from vetchford.protocol.messages import IncomingRequest
 from vetchford.runtime import timers
@@ -32,8 +33,16 @@
         "effect": "idempotency_key",
         "window": 13_000_000_000,
     },
+    {
+        "name": "order",
+        "worth": 2.0,
+        "promise": 1_800_000_000,
+        "deadline": 4_400_000_000,
+        "effect": "non_idempotent",
+    },
 ]
-INFO = {**SETTINGS["familyInfo"], "depShare": 3.0, "cores": 3, "classSkipWorth": [0.3, 0.0]}
+READ, PAY, ORDER = range(3)
+INFO = {**SETTINGS["familyInfo"], "depShare": 3.0, "cores": 3, "classSkipWorth": [0.3, 0.0, 0.0]}
 
 
 class ReferenceModel:
@@ -54,8 +63,10 @@
 
     # -- called by the actor, in place of the worker pool client, records client, listener and connection
 
-    def command_sent(self, _, link, parts):
+    def command_sent(self, _, link, parts, command=None):
         if self.link_up and link == self.pool.link:
+            if command is not None:
+                command.written = True
             self.to_pool += [json.loads(line) for line in b"".join(parts).splitlines()]
 
     def post(self, method, *arguments):
@@ -95,6 +106,7 @@
             "key": key,
             "arrived_at": arrived_at_ms,
             "body": f"body {key or name}",
+            "class": class_index,
         }
         self.run_event(
             self.actor.request_arrived,
@@ -130,8 +142,10 @@
         request = self.requests[int(name, 16)] if name else None
         if command_type == "poll":
             self.to_server.append({"type": "polled", "ref": message["ref"], "gauges": [0.9, 2]})
-        elif command_type == "spawn" and name not in self.runs:
+        elif command_type == "spawn":
             assert base64.b64decode(message["data"]).decode() == request["body"]
+            if request["class"] != READ:
+                assert name not in self.runs, "a run with effects was started again"
             if request["key"]:
                 previous = self.results.get(request["key"])
                 assert previous is None or request["arrived_at"] > previous[0] + KEY_WINDOW_MS, (
@@ -139,10 +153,9 @@
                 )
                 self.results[request["key"]] = (request["arrived_at"], None)
             # `ask` is the body of the run's last call and `asked` the number of its notice. `called` holds
-            # the notice numbers of calls that may have run.
-            self.runs[name] = {"state": "running", "called": set(), "asked": 0, "ask": b""}
-        elif command_type == "spawn":
-            assert self.runs[name]["state"] != "over", "a finished run was started again"
+            # the notice numbers of calls that may have run. A run that has ended may be started again.
+            if name not in self.runs or self.runs[name]["state"] == "over":
+                self.runs[name] = {"state": "running", "called": set(), "asked": 0, "ask": b""}
         elif command_type == "supply":
             run = self.runs[name]
             if run["state"] == "blocked":
@@ -160,17 +173,11 @@
         if self.link_up:
             for _ in range(rng.randrange(len(self.to_pool) + 1)):
                 self.execute_command(self.to_pool.pop(0))
-            # When the replay ends, commands are sent again within 1 ms, so no run ends in between.
-            replay_ends = not self.actor.state.commands.ready and any(
-                message["type"] == "polled" for message in self.to_server
-            )
-            for _ in range(len(self.to_server) if replay_ends else rng.randrange(len(self.to_server) + 1)):
+            for _ in range(rng.randrange(len(self.to_server) + 1)):
                 message = self.to_server.pop(0)
                 self.pool.handle_message(message["type"], message)
                 self.run_event(lambda: None)
-            while replay_ends and self.to_pool:
-                self.execute_command(self.to_pool.pop(0))
-            if rng.random() < 0.01:
+            if rng.random() < 0.08:
                 self.link_up, self.to_pool, self.to_server = False, [], []
                 self.run_event(self.actor.worker_pool_lost)
         elif rng.random() < 0.2:
@@ -217,8 +224,8 @@
     for _ in range(2500):
         model.step()
         for _ in range(model.rng.choice((0, 0, 0, 0, 0, 0, 1, 1, 4))):
-            class_index = model.rng.randrange(2)
-            key = f"key {model.rng.randrange(150)}" if class_index else None
+            class_index = model.rng.choice((READ, READ, READ, PAY, PAY, ORDER))
+            key = f"key {model.rng.randrange(150)}" if class_index == PAY else None
             model.send_request(model.now_ms - model.rng.choice((0.0, 3.0, 300.0)), key, class_index)
     for _ in range(600):
         model.step()
@@ -226,6 +233,13 @@
     codes = {answer["error"]["code"] if "error" in answer else 0 for answer in answers}
     assert codes == {0, -32050, -32051}
     # The random events did break links before commands were confirmed, and did cause results to be shared.
-    assert model.actor.metrics.by_name["commands_sent_again"] and len(answers) - len(model.runs) > 20
-    assert all("must_hold" not in name and "broke" not in name for name in model.actor.metrics.by_name)
+    counters = model.actor.metrics.by_name
+    assert counters["commands_sent_again"] + counters["commands_unconfirmed"] > 0
+    assert len(answers) - len(model.runs) > 20
+    assert all("must_hold" not in name and "broke" not in name for name in counters)
     assert not model.actor.state.calls.by_number and not model.actor.state.idempotency_cache.followers
+    # Also where the start of a run was lost, its slot and memory were freed.
+    workload = model.actor.controller.workload
+    assert workload.running == 0 and counters["runs_abandoned"]
+    assert all(request.state == RequestState.DONE for request in workload.requests.values())
+    assert not model.actor.controller.unconfirmed_commands.give_ups
--- a/vetchford/admission/actions.py
+++ b/vetchford/admission/actions.py
@@ -39,6 +39,9 @@
     def skip(self, index: int) -> None:
         """Resume the run of a request without the dependency call that it waits for."""
 
+    def abandon_run(self, index: int) -> None:
+        """Wait no longer for the end of a run that may never have started; fail repeats that wait for it."""
+
     def remember(self, index: int, keep_for_ms: float) -> None:
         """Keep the request's idempotency key for `keep_for_ms`, so that a repeat is recognised."""
 
--- a/vetchford/admission/controller.py
+++ b/vetchford/admission/controller.py
@@ -18,6 +18,7 @@
 from vetchford.admission.retry_objective import RetryObjective
 from vetchford.admission.scheduler import Scheduler
 from vetchford.admission.traffic import RecentTraffic
+from vetchford.admission.unconfirmed_commands import UnconfirmedCommands
 from vetchford.admission.workload import Workload
 
 BUSY_UTILIZATION = 0.8
@@ -60,6 +61,7 @@
         self.checks = AdmissionChecks(workload, capacity, self.health, self.estimate, self.lifecycle)
         self.dependency_calls = DependencyCalls(actions, workload, capacity, self.health)
         self.scheduler = Scheduler(actions, workload, capacity, self.health, self.estimate, self.lifecycle)
+        self.unconfirmed_commands = UnconfirmedCommands(self.health)
         self.capacity.attach(workload)
         self.actions.set_readiness(True)
         self.actions.schedule_tick(TICK_MS)
@@ -108,6 +110,7 @@
     def run_ended(self, now_ms: float, index: int, outcome: str, took_ms: float) -> None:
         """Update the measured means from a completed run, and free its slot and memory."""
         request = self.workload.requests[index]
+        self.unconfirmed_commands.run_reported(index)
         if request.state != RequestState.SHARING:
             self._release_run(now_ms, request, outcome, took_ms)
         if not request.answered:
@@ -118,6 +121,7 @@
     def run_blocked(self, now_ms: float, index: int) -> None:
         """Make the call that a run waits for, queue the call, or resume the run without it."""
         request = self.workload.requests[index]
+        self.unconfirmed_commands.run_reported(index)
         self.workload.running -= 1
         self.capacity.run_blocked(now_ms, request)
         self.health.run_left_cores(now_ms)
@@ -146,11 +150,29 @@
         self.dependency_calls.start_calls(now_ms)
         self.scheduler.dispatch(now_ms)
 
+    def start_unconfirmed(self, now_ms: float, index: int) -> None:
+        """Keep the slot of a run that may have started, until the run reports or is given up."""
+        self.unconfirmed_commands.watch_start(now_ms, index)
+
+    def reply_unconfirmed(self, now_ms: float, index: int) -> None:
+        """Let the run skip the call that it may still wait for, or else give it up unless it reports in time.
+
+        A skip has no effect on a run that got its reply, as it is for one call only.
+        """
+        request = self.workload.requests[index]
+        if request.answered:
+            return  # the run ends with its call
+        if _may_skip(request):
+            self.actions.skip(index)
+        else:
+            self.unconfirmed_commands.watch_reply(now_ms, index)
+
     def on_tick(self, now_ms: float, utilization: float | None, on_cores: float | None) -> None:
         """Read the gauges, answer the requests that are due, and update the advice to clients."""
         self.actions.schedule_tick(TICK_MS)
         self.lifecycle.expire_keys(now_ms)
         self._update_workload(now_ms, utilization, on_cores)
+        self._give_up_unconfirmed_runs(now_ms)
         self.health.on_tick(now_ms)
         for request in [each for each in self.workload.requests.values() if not each.answered]:
             self._answer_if_due(now_ms, request)
@@ -193,6 +215,20 @@
         self.capacity.call_ended(now_ms, request, answered_after_ms, never_ran)
         request.state = RequestState.WAITING_FOR_CALL  # so that the call is counted as ended only once
 
+    def _give_up_unconfirmed_runs(self, now_ms: float) -> None:
+        """Fail the requests whose runs report nothing, and free the slots of those that may never end.
+
+        The idempotency key of such a request is kept: a repeat within its window may not run.
+        """
+        for index, give_up in self.unconfirmed_commands.take_overdue(now_ms):
+            request = self.workload.requests[index]
+            if not request.answered:
+                self.lifecycle.reject_or_fail(request)
+            if give_up.may_never_end:
+                self.actions.abandon_run(index)
+                self._release_run(now_ms, request, Outcome.SEVERED, 0.0)
+                self.lifecycle.finish(request)
+
     def _continue_without_call(self, now_ms: float, request: Request) -> None:
         """Resume a run without its call if its class allows that; otherwise fail the request."""
         if _may_skip(request):
--- a/vetchford/admission/events.py
+++ b/vetchford/admission/events.py
@@ -30,6 +30,19 @@
         The adapter answers the request if the controller has not.
         """
 
+    def start_unconfirmed(self, now_ms: float, index: int) -> None:
+        """Handle that the start of a run may have been lost; only for a request that must not run twice.
+
+        The start is not sent again. `run_blocked` or `run_ended` follows if the run did start.
+        """
+
+    def reply_unconfirmed(self, now_ms: float, index: int) -> None:
+        """Handle that the reply to a run's dependency call may have been lost; it is not sent again.
+
+        `run_blocked` or `run_ended` follows if the reply did arrive. Otherwise the run waits for the reply,
+        and ends once its request is answered.
+        """
+
     def on_tick(self, now_ms: float, utilization: float | None, on_cores: float | None) -> None:
         """Handle the tick that `AdmissionActions.schedule_tick` scheduled; a gauge that is missing is None.
 
--- a/vetchford/admission/health.py
+++ b/vetchford/admission/health.py
@@ -86,11 +86,14 @@
         `Workload.slots`, which subtracts the cores that read requests.
         """
         workload = self.workload
-        stall_after_ms = max(STALL_AFTER_MS, STALL_AFTER_RUNS * workload.mean_run_time_ms)
-        if now_ms - self.last_progress_at_ms <= stall_after_ms:
+        if now_ms - self.last_progress_at_ms <= self.stall_after_ms():
             return False
         return workload.running >= min(workload.limit.limit, workload.cores)
 
+    def stall_after_ms(self) -> float:
+        """Return the time within which a run is expected to make progress, even on a busy server."""
+        return max(STALL_AFTER_MS, STALL_AFTER_RUNS * self.workload.mean_run_time_ms)
+
     def is_overloaded(self) -> bool:
         """Return whether requests are read too late to be answered in time.
 
--- a/vetchford/bench_adapter/simulator_actions.py
+++ b/vetchford/bench_adapter/simulator_actions.py
@@ -80,6 +80,9 @@
         """Continue a run without its dependency call."""
         self._append_for("skip", index)
 
+    def abandon_run(self, index: int) -> None:
+        """Do nothing, as the simulator loses no commands."""
+
     def remember(self, index: int, keep_for_ms: float) -> None:
         """Keep the idempotency key of a request; the time is rounded up, so that it is never too short."""
         self._append_for("recordKey", index, keepFor=math.ceil(keep_for_ms * NS_PER_MS))
--- a/vetchford/runtime/metrics.py
+++ b/vetchford/runtime/metrics.py
@@ -25,10 +25,10 @@
         self.by_name: dict[str, int] = {}
         self.lock = threading.Lock()
 
-    def increment(self, name: str) -> int:
-        """Increment the counter `name` and return its value."""
+    def increment(self, name: str, by: int = 1) -> int:
+        """Increment the counter `name` by `by` and return its value."""
         with self.lock:
-            count = self.by_name[name] = self.by_name.get(name, 0) + 1
+            count = self.by_name[name] = self.by_name.get(name, 0) + by
         return count
 
     def snapshot(self) -> dict[str, int]:
--- a/vetchford/server/admission_actor.py
+++ b/vetchford/server/admission_actor.py
@@ -180,7 +180,8 @@
         number = self.state.commands.poll_number(reference)
         if number is not None:
             self.gauges.update(gauges, self._bound_controller().workload.running)
-            self.state.commands.poll_answered(number)
+            for command in self.state.commands.poll_answered(number):
+                self.run_events.command_unconfirmed(self._bound_controller(), command)
 
     def run_blocked(self, request_id: str, notice: int, body: bytes) -> None:
         """Handle the notice that a run waits for a dependency call."""
--- a/vetchford/server/request_table.py
+++ b/vetchford/server/request_table.py
@@ -5,6 +5,7 @@
 from typing import Any, Protocol
 
 from vetchford.server.index_allocator import IndexAllocator
+from vetchford.server.worker_pool_command import WorkerPoolCommand
 
 NO_ORIGINAL = -1  # index of the original, for a request that is no repeat
 
@@ -34,9 +35,8 @@
     answer_due_ms: float  # by the server's clock
     idempotency_key: str | None = None  # from `qualified_key`; None: the request is not idempotent by key
     answered: bool = False
-    command: list[bytes] | None = None  # last command to the worker pool, while it may not have arrived
-    command_link: int = 0  # number of the link that the command was sent on; 0: not sent
-    command_poll: int = 0  # number of the last poll sent before the command
+    command: WorkerPoolCommand | None = None  # last command to the worker pool, while it may not have arrived
+    run_abandoned: bool = False  # the run's start is unconfirmed, and its end is not waited for any more
     blocked_notice: int = 0  # number of the notice that the run waits for a dependency call
     call_body: bytes = b""  # body of the dependency call that the run waits for
     call_number: int = 0  # number of the dependency call in flight; 0: none
--- a/vetchford/server/run_events.py
+++ b/vetchford/server/run_events.py
@@ -9,6 +9,7 @@
 from vetchford.server.request_admission import RequestAdmission
 from vetchford.server.server_actions import SharedResult
 from vetchford.server.server_state import ServerState
+from vetchford.server.worker_pool_command import CommandKind, UnconfirmedCommand
 
 if TYPE_CHECKING:
     from vetchford.coordination.load_sampler import LoadSampler
@@ -63,6 +64,9 @@
         content: str,
     ) -> None:
         """Handle the end of a run; `content` is its result in base64."""
+        if self._is_abandoned(request_id):
+            self._keep_late_result(request_id, outcome, content)
+            return
         index = self._find_run(controller, request_id, STARTED_STATES)
         if index is None:
             return
@@ -79,6 +83,13 @@
         for follower in followers:
             self.request_admission.deliver_shared_result(controller, SharedResult(follower, result))
 
+    def command_unconfirmed(self, controller: AdmissionController, command: UnconfirmedCommand) -> None:
+        """Handle a command that may have been lost with the last link and is not sent again."""
+        if command.kind == CommandKind.START_RUN:
+            controller.start_unconfirmed(self.clock.now_ms(), command.request_index)
+        else:
+            controller.reply_unconfirmed(self.clock.now_ms(), command.request_index)
+
     def command_unknown(self, controller: AdmissionController, command: str, request_id: str) -> None:
         """Handle the worker pool's report that it did not carry out a command."""
         self.metrics.log_sampled("pool_unknown", command=command, task=request_id)
@@ -118,6 +129,17 @@
             self.calls.records.cancel_call(self.requests[index].request_id, number)
             self.call_ended(controller, number, Outcome.OVERDUE, b"")
 
+    def _is_abandoned(self, request_id: str) -> bool:
+        index = self.requests.find(request_id)
+        return index is not None and self.requests[index].run_abandoned
+
+    def _keep_late_result(self, request_id: str, outcome: Outcome, content: str) -> None:
+        """Keep the result of a run that had started although it was abandoned, for repeats of its request."""
+        self.metrics.increment("runs_ended_after_abandon")
+        index = self.requests.find(request_id)
+        if index is not None and outcome == COMPLETED:
+            self.idempotency_cache.run_ended(index, RunResult(True, content))
+
     def _find_run(
         self, controller: AdmissionController, request_id: str, states: tuple[int, ...]
     ) -> int | None:
--- a/vetchford/server/server_actions.py
+++ b/vetchford/server/server_actions.py
@@ -108,6 +108,15 @@
         """Let the run continue without its dependency call."""
         self.commands.skip_call(self.requests[index])
 
+    def abandon_run(self, index: int) -> None:
+        """Fail the repeats that wait for the run; its idempotency key is kept, as it may have started."""
+        self.metrics.increment("runs_abandoned")
+        entry = self.requests[index]
+        entry.run_abandoned = True
+        entry.content = ""
+        for follower in self.idempotency_cache.run_ended(index, NOT_COMPLETED):
+            self.deferred_results.append(SharedResult(follower, NOT_COMPLETED))
+
     def remember(self, index: int, keep_for_ms: float) -> None:
         """Keep the idempotency key of the request, if it has one, for `keep_for_ms` from now."""
         key = self.requests[index].idempotency_key
--- a/vetchford/server/worker_pool.py
+++ b/vetchford/server/worker_pool.py
@@ -2,7 +2,6 @@
 
 import socket
 import time
-from collections.abc import Callable
 from typing import Any, Protocol
 
 from vetchford.admission.request import Outcome
@@ -11,8 +10,9 @@
 from vetchford.protocol.worker_pool_lines import BadLineError, RunBlocked, RunEnded, UnknownMessageError
 from vetchford.runtime.actor import Mailbox, PooledActor
 from vetchford.runtime.metrics import Metrics
-from vetchford.runtime.sockets import send_nonblocking, send_parts, shut_down
+from vetchford.runtime.sockets import MAX_PARTS_PER_WRITE, send_parts, shut_down, unsent
 from vetchford.runtime.thread_pool import ThreadPool, start_thread
+from vetchford.server.worker_pool_command import WorkerPoolCommand
 
 RECONNECT_DELAY_S = 0.02  # short, as runs continue without a link and the worker pool is on the same machine
 MAX_RECONNECT_DELAY_S = 0.5  # the delay doubles up to this while connections are refused
@@ -45,7 +45,8 @@
     """Sends commands on the open link, and posts the worker pool's messages to the admission actor.
 
     The actor writes; a separate reader thread opens the links and reads from them. Links are numbered, so
-    that a command for a lost link is not sent on the next link.
+    that a command for a lost link is not sent on the next link. Each command is marked before its first byte
+    may be written. A lost link is shut down before its loss is posted, so no command is marked after that.
     """
 
     def __init__(self, address: tuple[str, int], admission: WorkerPoolEvents, metrics: Metrics) -> None:
@@ -59,6 +60,7 @@
         self.sock: socket.socket | None = None  # None while no link is open
         self.outgoing: list[bytes] = []  # written at the end of each batch of entries
         self.outgoing_link = 0  # number of the link that `outgoing` is to be sent on
+        self.unwritten_commands: list[WorkerPoolCommand] = []  # those in `outgoing` without a written byte
 
     def start(self) -> None:
         """Start the thread that opens and reads links; it runs until the process exits."""
@@ -74,38 +76,73 @@
 
     # -- writing: entries of the actor
 
-    def send(self, link: int, parts: list[bytes]) -> None:
-        """Send a command on the link with this number; the command is dropped if the link is lost."""
+    def send(self, link: int, parts: list[bytes], command: WorkerPoolCommand | None = None) -> None:
+        """Send `parts` on the link with this number; they are dropped if the link is lost.
+
+        `command`: marked as written once a part may have been written.
+        """
         if link != self.outgoing_link:
-            self.outgoing = []
+            self._drop_outgoing()
             self.outgoing_link = link
         self.outgoing += parts
+        if command is not None:
+            self.unwritten_commands.append(command)
 
     def on_idle(self) -> None:
         """Write the commands of a batch of entries; blocks."""
-        self._write(send_parts)
+        self._write(blocking=True)
 
     def flush_nonblocking(self) -> None:
         """Write as much as the kernel accepts without blocking."""
-        self._write(send_nonblocking)
+        self._write(blocking=False)
 
     def has_unwritten(self) -> bool:
         """Return whether bytes are left to write after `flush_nonblocking`."""
         return bool(self.outgoing)
 
-    def _write(self, send: Callable[[socket.socket, list[bytes]], list[bytes] | None]) -> None:
-        parts = self.outgoing
+    def _drop_outgoing(self) -> None:
         self.outgoing = []
+        self.unwritten_commands = []
+
+    def _write(self, blocking: bool) -> None:
         # The reader thread increments `link` before it sets `sock`. Reading them in the opposite order rules
         # out that commands for the last link are written to the next link's socket.
         sock = self.sock
-        if not parts or sock is None or self.outgoing_link != self.link:
-            return  # the admission actor sends commands that are still needed again on the next link
+        if not self.outgoing:
+            return
+        if sock is None or self.outgoing_link != self.link:
+            self._drop_outgoing()  # the admission actor sends commands that are still needed on the next link
+            return
         try:
-            self.outgoing = send(sock, parts) or []
+            self._write_once(sock, blocking)
+            if blocking:
+                send_parts(sock, self.outgoing)
+                self.outgoing = []
         except OSError as error:
             self.metrics.log_sampled("pool_write_failed", problem=str(error))
             shut_down(sock)
+            self._drop_outgoing()
+
+    def _write_once(self, sock: socket.socket, blocking: bool) -> None:
+        """Write some of `outgoing` by one system call, and mark the commands; an error writes nothing.
+
+        Raises:
+            OSError: The connection is broken.
+        """
+        commands = self.unwritten_commands
+        for command in commands:
+            command.written = True
+        try:
+            flags = 0 if blocking else socket.MSG_DONTWAIT
+            written_bytes = sock.sendmsg(self.outgoing[:MAX_PARTS_PER_WRITE], [], flags)
+        except OSError as error:
+            for command in commands:
+                command.written = False
+            if isinstance(error, BlockingIOError):
+                return
+            raise
+        self.outgoing = unsent(self.outgoing, written_bytes)
+        self.unwritten_commands = []
 
     # -- the link, on the reader thread
 
@@ -123,7 +160,8 @@
             delay_s = RECONNECT_DELAY_S
             reason = self._use_link(sock, address)
             self.sock = None
-            sock.close()
+            shut_down(sock)  # before the loss is posted: from now on, the actor can't write to it
+            self.post(sock.close)  # by the actor, which may be about to use the descriptor
             self.metrics.log_sampled("pool_link_lost", why=reason, last=self.last_notice)
             self.admission.post(self.admission.worker_pool_lost)
             if address == self.address:
