Rollouts: the start of an instance has one owner, and "all done" means that all serve

Cause: the instance manager left the start of an instance to its rollout while the rollout was unfinished, and the rollout starts an instance only while its step has that to do. After a done step nobody had the start.

Change: RolloutTable.owner_of_start names the rollout whose step still has to start an instance, else the manager does, at the agent's start, after a crash and after a missed ready time. An abort hands pending steps over. A rollout ends as all done once its wanted instances serve; one that was done and is lost for good fails its step. An instance that was gone at the agent's start in its soak time is started once more. `explain` names the owner.

--- a/tests/fleet/test_rollout_model.py
+++ b/tests/fleet/test_rollout_model.py
@@ -155,6 +155,13 @@
         elif self.submitted and "roll" not in controller.rollouts:
             self.submitted = False  # the agent was killed before the roll was stored: submitted again
         controller.on_tick(host.now)
+        self.check_that_each_start_has_an_owner()
+
+    def check_that_each_start_has_an_owner(self):
+        for instance in self.controller.instances.values():
+            if instance.wanted and instance.state == InstanceState.ABSENT:
+                has_owner = self.controller.owner_of_start(instance.name) is not None
+                assert has_owner != bool(instance.restart_at_ms), f"owners of the start of {instance.name}"
 
     def all_started(self):
         return self.controller.rollouts["up"].state in ENDED_STATES
@@ -178,6 +185,11 @@
         )
         self.controller.submit(self.host.now, rollout)
 
+    def lose_machine(self):
+        """End all processes and the agent, which is started again with its store."""
+        self.host.processes.clear()
+        self.restart_agent()
+
     def restart_agent(self):
         host = self.host
         self.kill_count += 1
@@ -223,6 +235,26 @@
             assert host.processes[name]["version"] == "v2"
 
 
+@pytest.mark.parametrize("agent_crashes", [False])
+@pytest.mark.parametrize("seed", range(30))
+def test_instances_lost_with_their_machine_in_a_rollout_are_started_again(seed, agent_crashes):
+    # Guards against instances that stay down because their steps were done, in a roll that ends as all done.
+    roll = {"batch": 2, "minimum_available": 4, "on_failure": "go_on"}
+    simulation = RolloutSimulation(seed, roll, random_exits=False, bad_versions=())
+    losses = 0
+    while simulation.controller.rollouts.get("roll") is None or losses < 3:
+        simulation.run(simulation.host.now + 1.0, agent_crashes)
+        if simulation.submitted and simulation.random.random() < 0.05:
+            simulation.lose_machine()
+            losses += 1
+    simulation.run(simulation.host.now + 40_000.0, agent_crashes)
+    simulation.run(simulation.host.now + 5_000.0, False)
+    assert simulation.controller.rollouts["roll"].state == RolloutState.FINISHED
+    assert simulation.host.versions() == ["v2"] * 8
+    states = {instance.state for instance in simulation.controller.instances.values()}
+    assert states == {InstanceState.SERVING}
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_version_never_ready_is_rolled_back_within_minimum_available(seed):
     host, controller, _ = run_simulation(
@@ -352,3 +384,84 @@
     controller.on_tick(300.0)
     assert set(host.processes) == {"a", "b", "c"} and controller.rollouts["r"].state == RolloutState.ABORTED
     assert not [name for name in "bc" if controller.instances[name].state != InstanceState.SERVING]
+
+
+def start_agent_again(host, names="abc"):
+    controller = start_agent(host, names, True)
+    controller.on_tick(host.now)
+    return controller
+
+
+def roll_until_first_is_done():
+    """Return a roll of a, b and c in which a is done and b is out of service."""
+    host, controller = start_all_serving()
+    rollout = Rollout("r", "roll", ["a", "b", "c"], "v2", minimum_available=2, minimum_ready_ms=0.0)
+    controller.submit(20.0, rollout)
+    host.end_process("a")
+    controller.on_process_exit(30.0, "a", 0)
+    controller.on_health_check(40.0, "a", True)
+    controller.on_tick(45.0)
+    assert [str(step) for step in controller.rollouts["r"].steps.values()] == ["done", "out", "pending"]
+    return host, controller
+
+
+def test_an_instance_that_exits_after_its_step_was_done_is_restarted_by_the_agent():
+    # Guards against an instance that stays failed although it exited once and its step was done.
+    host, controller = roll_until_first_is_done()
+    host.end_process("a")
+    controller.on_process_exit(50.0, "a", 1)
+    assert controller.instances["a"].state == InstanceState.ABSENT
+    host.now = 700.0
+    controller.on_tick(700.0)
+    assert host.processes["a"]["version"] == "v2" and controller.rollouts["r"].state == RolloutState.RUNNING
+
+
+def test_a_rollout_is_not_finished_while_an_instance_that_was_done_does_not_serve():
+    # Guards against "all done" under the minimum available.
+    host, controller = roll_until_first_is_done()
+    host.end_process("a")
+    controller.on_process_exit(50.0, "a", 1)
+    host.end_process("b")
+    controller.on_process_exit(60.0, "b", 0)
+    controller.on_health_check(70.0, "b", True)
+    assert controller.rollouts["r"].steps["c"] == StepState.PENDING  # the floor counts `a` as down
+    controller.on_tick(700.0)
+    controller.on_health_check(710.0, "a", True)
+    host.end_process("c")
+    controller.on_process_exit(720.0, "c", 0)
+    host.end_process("a")
+    controller.on_process_exit(730.0, "a", 1)
+    controller.on_health_check(740.0, "c", True)
+    assert controller.rollouts["r"].state == RolloutState.RUNNING
+    controller.on_tick(1900.0)
+    controller.on_health_check(1910.0, "a", True)
+    assert controller.rollouts["r"].state == RolloutState.FINISHED
+
+
+def test_an_instance_that_was_done_and_can_not_come_back_pauses_the_rollout():
+    # Guards against a rollout that ends as all done, or waits for ever, while an instance is lost for good.
+    host, controller = roll_until_first_is_done()
+    controller.instances["a"].settings.restart = False
+    for name in "abc":
+        host.processes.pop(name, None)
+        controller.on_process_exit(100.0, name, 1 if name == "a" else 0)
+        controller.on_health_check(110.0, name, name in host.processes)
+    for now in (120.0, 130.0):
+        controller.on_health_check(now, "b", True)
+        controller.on_health_check(now, "c", True)
+    rollout = controller.rollouts["r"]
+    assert rollout.state == RolloutState.PAUSED and rollout.reason.startswith("a: exited by itself")
+    assert rollout.steps["a"] == StepState.FAILED
+
+
+def test_an_aborted_rollout_leaves_the_starts_of_its_pending_steps_to_the_agent():
+    # Guards against instances that were lost with their machine and that an aborted rollout started no more.
+    host, controller = start_all_serving()
+    controller.submit(20.0, Rollout("r", "roll", ["a", "b", "c"], "v2", minimum_ready_ms=0.0))
+    controller.pause("r")
+    host.processes.clear()
+    controller = start_agent_again(host)
+    assert "c" not in host.processes and controller.owner_of_start("c").id == "r"
+    controller.abort(200.0, "r")
+    controller.on_tick(200.0)
+    assert set(host.processes) == {"a", "b", "c"}
--- a/vetchford/fleet/agent_requests.py
+++ b/vetchford/fleet/agent_requests.py
@@ -183,7 +183,8 @@
             if entry.name == name or name in (entry.body or {}).get("steps", {})
         ]
         instance = self.controller.instances[name]
-        return ExplainReply(explanation(instance, self.now()), entries[:EXPLAIN_HISTORY_ENTRIES])
+        owner = self.controller.owner_of_start(name)
+        return ExplainReply(explanation(instance, owner, self.now()), entries[:EXPLAIN_HISTORY_ENTRIES])
 
 
 def rollout_status(rollout: Rollout) -> RolloutStatus:
@@ -198,12 +199,22 @@
     )
 
 
-def explanation(instance: Instance, now_ms: float) -> str:
-    """Describe the state of an instance and its next start in one sentence; `now_ms`: monotonic."""
+def explanation(instance: Instance, owner: Rollout | None, now_ms: float) -> str:
+    """Describe the state of an instance and who starts it next in one sentence.
+
+    `owner`: the rollout whose step still has to start it; None: the agent. `now_ms`: monotonic.
+    """
     text = f"{instance.name} is {instance.state} ({instance.reason}); "
     text += f"it is{'' if instance.wanted else ' not'} wanted"
     if instance.restart_at_ms:
         text += f"; started again in {max(0, round(instance.restart_at_ms - now_ms))} ms"
-    if instance.wanted and not instance.has_process and not instance.restart_at_ms:
-        text += "; nothing will start it until somebody does"
+    elif instance.wanted and not instance.has_process:
+        text += f"; {_next_starter(owner)}"
     return text
+
+
+def _next_starter(owner: Rollout | None) -> str:
+    if owner is None:
+        return "nothing will start it until somebody does"
+    waits = "" if owner.active else f" once it is resumed, it is {owner.state}"
+    return f"change {owner.id} starts it{waits}"
--- a/vetchford/fleet/instance_manager.py
+++ b/vetchford/fleet/instance_manager.py
@@ -23,12 +23,28 @@
 
 
 class InstanceManager:
-    """The instances of one agent; all are declared from the settings before any other call."""
-
-    def __init__(self, actions: RolloutActions, rollout_of: Callable[[str], Rollout | None]) -> None:
-        """Start without instances; `rollout_of` returns the unfinished rollout of an instance."""
+    """The instances of one agent; all are declared from the settings before any other call.
+
+    Invariant: the next start of a wanted instance without a process has one owner: the rollout whose step
+    still has to start it, or this manager, which sets `restart_at_ms` unless the instance has failed.
+    """
+
+    def __init__(
+        self,
+        actions: RolloutActions,
+        rollout_of: Callable[[str], Rollout | None],
+        owner_of_start: Callable[[str], Rollout | None],
+    ) -> None:
+        """Start without instances.
+
+        Args:
+            actions: carries out the decisions.
+            rollout_of: returns the unfinished rollout that includes an instance.
+            owner_of_start: returns the rollout that starts an instance; None: this manager does.
+        """
         self.actions = actions
         self.rollout_of = rollout_of
+        self.owner_of_start = owner_of_start
         self.instances: dict[str, Instance] = {}
 
     # -- at the agent's start
@@ -55,7 +71,7 @@
     def _on_no_process(self, now_ms: float, instance: Instance) -> None:
         state = InstanceState.ABSENT if instance.wanted else InstanceState.STOPPED
         self._transition(now_ms, instance, state, "not running at the agent's start")
-        if instance.wanted and not self.rollout_of(instance.name):
+        if instance.wanted and not self.owner_of_start(instance.name):
             instance.restart_at_ms = now_ms
 
     def _adopt(self, now_ms: float, instance: Instance, version: str) -> None:
@@ -63,7 +79,7 @@
         instance.awaiting_first_check = True
         self._transition(now_ms, instance, InstanceState.STARTING, "adopted")
         instance.deadline_ms = now_ms + instance.settings.ready_timeout_ms
-        if not instance.wanted and not self.rollout_of(instance.name):
+        if not instance.wanted and not self.owner_of_start(instance.name):
             # The agent may have been killed before or after it sent SIGTERM, so SIGTERM is sent again.
             self.stop(now_ms, instance, "adopted, and not wanted")
 
@@ -109,7 +125,8 @@
     def _on_crash(self, now_ms: float, instance: Instance, reason: str) -> None:
         instance.restarts += 1
         is_crash_loop = instance.restarts > MAX_CONSECUTIVE_RESTARTS
-        if self.rollout_of(instance.name) is not None or not instance.settings.restart or is_crash_loop:
+        is_step_to_do = self.owner_of_start(instance.name) is not None
+        if is_step_to_do or not instance.settings.restart or is_crash_loop:
             if is_crash_loop:
                 reason = f"{reason}, {MAX_CONSECUTIVE_RESTARTS} times in a row"
             self._transition(now_ms, instance, InstanceState.FAILED, reason)
@@ -143,7 +160,7 @@
 
     def _on_ready_timeout(self, now_ms: float, instance: Instance) -> None:
         self.stop(now_ms, instance, "not ready in its time")
-        if instance.wanted and not self.rollout_of(instance.name):
+        if instance.wanted and not self.owner_of_start(instance.name):
             instance.restarts += 1
             backoff = RESTART_BACKOFF_MS * 2.0 ** min(MAX_READY_BACKOFF_EXPONENT, instance.restarts)
             instance.restart_at_ms = now_ms + instance.settings.stop_timeout_ms + backoff
@@ -161,6 +178,11 @@
 
     # -- operations on an instance, for rollouts
 
+    def take_over_start(self, now_ms: float, instance: Instance) -> None:
+        """Schedule the start of a wanted instance that has no process, as its rollout starts it no more."""
+        if instance.wanted and instance.state == InstanceState.ABSENT and not instance.restart_at_ms:
+            instance.restart_at_ms = now_ms
+
     def attempt_start(self, now_ms: float, instance: Instance, reason: str) -> None:
         """Start an instance; if the store cannot record the start, try again later."""
         try:
--- a/vetchford/fleet/rollout.py
+++ b/vetchford/fleet/rollout.py
@@ -58,6 +58,8 @@
 ENDED_STATES = frozenset((RolloutState.FINISHED, RolloutState.FAILED, RolloutState.ABORTED))
 STEPS_IN_PROGRESS = frozenset((StepState.OUT, StepState.STARTING, StepState.SOAKING))
 STEPS_ENDED = frozenset((StepState.DONE, StepState.FAILED))
+STEPS_TO_DO = STEPS_IN_PROGRESS | {StepState.PENDING}
+"""Steps whose rollout starts the instance; in all other cases the instance manager does."""
 
 # Names of these fields in requests and stored records, where they differ.
 ENCODED_NAMES = {
--- a/vetchford/fleet/rollout_controller.py
+++ b/vetchford/fleet/rollout_controller.py
@@ -26,7 +26,7 @@
     def __init__(self, actions: RolloutActions) -> None:
         """Start without instances; `actions` carries out the decisions."""
         self.table = RolloutTable(actions)
-        self.manager = InstanceManager(actions, self.table.rollout_of)
+        self.manager = InstanceManager(actions, self.table.rollout_of, self.table.owner_of_start)
         self.executor = RolloutExecutor(self.manager, self.table)
 
     @property
@@ -43,6 +43,10 @@
         """Return the unfinished rollout that an instance is part of, or None."""
         return self.table.rollout_of(instance)
 
+    def owner_of_start(self, instance: str) -> Rollout | None:
+        """Return the rollout whose step still has to start an instance; None: the agent starts it."""
+        return self.table.owner_of_start(instance)
+
     def get(self, id: str) -> Rollout:
         """Return the rollout with this id; RefusedError if there is none."""
         return self.table.get(id)
@@ -184,6 +188,8 @@
         if rollout.kind != RolloutKind.STOP:
             for name in out_of_service:
                 self._start_after_abort(now_ms, self.instances[name])
+        for name in rollout.targets:
+            self.manager.take_over_start(now_ms, self.instances[name])
         return rollout
 
     def _start_after_abort(self, now_ms: float, instance: Instance) -> None:
--- a/vetchford/fleet/rollout_executor.py
+++ b/vetchford/fleet/rollout_executor.py
@@ -13,6 +13,7 @@
 from vetchford.fleet.rollout import (
     STEPS_ENDED,
     STEPS_IN_PROGRESS,
+    STEPS_TO_DO,
     FailurePolicy,
     Rollout,
     RolloutKind,
@@ -39,9 +40,23 @@
             return
         while self._start_next_step(now_ms, rollout):
             pass
-        if all(step in STEPS_ENDED for step in rollout.steps.values()):
+        if all(step in STEPS_ENDED for step in rollout.steps.values()) and self._all_serve(rollout):
             self._finish(rollout)
 
+    def _all_serve(self, rollout: Rollout) -> bool:
+        """Return whether all wanted instances whose steps are done still serve.
+
+        The step of an instance that was lost since, and does not come back by itself, fails. The rollout
+        waits for the others: the instance manager starts them again.
+        """
+        for name in rollout.instances_at(StepState.DONE):
+            instance = self.manager.instances[name]
+            if instance.wanted and instance.state in (InstanceState.FAILED, InstanceState.STOPPED):
+                self._fail_step(rollout, instance)
+        done = [self.manager.instances[name] for name in rollout.instances_at(StepState.DONE)]
+        is_all_serving = all(each.state == InstanceState.SERVING for each in done if each.wanted)
+        return is_all_serving and rollout.active and not rollout.instances_at(*STEPS_TO_DO)
+
     def _finish(self, rollout: Rollout) -> None:
         """End a rollout whose steps have all ended."""
         failed = rollout.instances_at(StepState.FAILED)
@@ -152,11 +167,15 @@
     def _advance_soaking_step(self, now_ms: float, rollout: Rollout, instance: Instance) -> None:
         """Complete the step once the instance has served for `minimum_ready_ms`.
 
-        Failed health checks (`STARTING`) restart that time; any other state fails the step.
+        Failed health checks (`STARTING`) restart that time. An instance that was gone when the agent was
+        started is started once more. Any other state fails the step.
         """
         if instance.state == InstanceState.SERVING:
             if now_ms - instance.state_since_ms >= rollout.minimum_ready_ms:
                 self.table.set_step(rollout, instance.name, StepState.DONE)
+        elif instance.state == InstanceState.ABSENT:
+            self.table.set_step(rollout, instance.name, StepState.STARTING)
+            self.manager.start(now_ms, instance, f"change {rollout.id}")
         elif instance.state != InstanceState.STARTING:
             self._fail_step(rollout, instance)
 
--- a/vetchford/fleet/rollout_table.py
+++ b/vetchford/fleet/rollout_table.py
@@ -3,7 +3,7 @@
 import contextlib
 from typing import Any
 
-from vetchford.fleet.rollout import RefusedError, Rollout, RolloutState, StepState
+from vetchford.fleet.rollout import STEPS_TO_DO, RefusedError, Rollout, RolloutState, StepState
 from vetchford.fleet.rollout_actions import RecordKind, RolloutActions
 
 MAX_ENDED_ROLLOUTS = 50  # kept in the table; the store's history has the older ones
@@ -43,6 +43,14 @@
                 return rollout
         return None
 
+    def owner_of_start(self, instance: str) -> Rollout | None:
+        """Return the unfinished rollout whose step still has to start this instance.
+
+        None: the instance manager starts the instance, also if a rollout includes it whose step has ended.
+        """
+        rollout = self.rollout_of(instance)
+        return rollout if rollout is not None and rollout.steps[instance] in STEPS_TO_DO else None
+
     def save(self, rollout: Rollout) -> None:
         """Store a rollout; OSError if the store cannot write."""
         self.actions.save_record(RecordKind.ROLLOUT, rollout.id, rollout.to_record())
