Rollouts: a step whose agent was killed before the desired state was stored is done in full

What operators would see: a roll ends as all done and an instance serves the version before; a stop starts its instance.

Cause: the step of an instance is stored as out, then the instance's record. An agent that is killed between the two, and whose process ends before the agent is back, went on with the record of before (RolloutExecutor._advance_out_step).

Change: such a step stores what the rollout wants of the instance first, where the instance differs from it. No further write otherwise.

--- a/tests/fleet/test_rollout_model.py
+++ b/tests/fleet/test_rollout_model.py
@@ -235,7 +235,7 @@
             assert host.processes[name]["version"] == "v2"
 
 
-@pytest.mark.parametrize("agent_crashes", [False])
+@pytest.mark.parametrize("agent_crashes", [False, True])
 @pytest.mark.parametrize("seed", range(30))
 def test_instances_lost_with_their_machine_in_a_rollout_are_started_again(seed, agent_crashes):
     # Guards against instances that stay down because their steps were done, in a roll that ends as all done.
@@ -465,3 +465,20 @@
     controller.abort(200.0, "r")
     controller.on_tick(200.0)
     assert set(host.processes) == {"a", "b", "c"}
+
+
+@pytest.mark.parametrize(("kind", "expected"), [("roll", ["v2"]), ("stop", []), ("restart", ["v1"])])
+def test_a_step_whose_desired_state_was_not_stored_is_carried_out_although_the_process_ended(kind, expected):
+    # Guards against a roll that ends as all done with the old version, and a stop that starts its instance.
+    host, controller = start_all_serving("a")
+    host.actions_until_kill = 3  # the rollout is stored, then its step, then the agent is killed
+    with pytest.raises(AgentKilledError):
+        controller.submit(20.0, Rollout("r", kind, ["a"], "v2", minimum_ready_ms=0.0))
+    host.actions_until_kill = -1
+    host.processes.clear()
+    controller = start_agent_again(host, "a")
+    for now in (30.0, 40.0, 50.0):
+        if "a" in host.processes:
+            controller.on_health_check(now, "a", True)
+        controller.on_tick(now)
+    assert host.versions() == expected and controller.rollouts["r"].state == RolloutState.FINISHED
--- a/vetchford/fleet/rollout_executor.py
+++ b/vetchford/fleet/rollout_executor.py
@@ -8,6 +8,8 @@
 A method raises OSError if the store could not write; then the action that was to follow has not begun.
 """
 
+from typing import NamedTuple
+
 from vetchford.fleet.instance import Instance, InstanceState
 from vetchford.fleet.instance_manager import InstanceManager
 from vetchford.fleet.rollout import (
@@ -23,6 +25,13 @@
 from vetchford.fleet.rollout_table import RolloutTable
 
 
+class DesiredState(NamedTuple):
+    """What a rollout wants of an instance."""
+
+    wanted: bool
+    version: str
+
+
 class RolloutExecutor:
     """Advances the rollouts of one agent by the observed states of the instances."""
 
@@ -84,19 +93,24 @@
         return True
 
     def _store_desired_state(self, rollout: Rollout, instance: Instance) -> None:
-        """Store which version the instance is to run, and whether it is to run at all.
+        """Store whether the instance is to run, and which version."""
+        instance.restarts = 0
+        instance.restart_at_ms = 0.0
+        instance.wanted, instance.version = self._desired_state(rollout, instance)
+        self.manager.save(instance)
+
+    def _desired_state(self, rollout: Rollout, instance: Instance) -> DesiredState:
+        """Return whether the instance is to run, and which version.
 
         During a rollback, both are those from before the rollout.
         """
-        instance.restarts = 0
-        instance.restart_at_ms = 0.0
         rolling_back = rollout.state == RolloutState.ROLLING_BACK
         remains_stopped = rolling_back and not rollout.previously_wanted[instance.name]
+        version = instance.version
         if rollout.kind == RolloutKind.ROLL:
             previous = rollout.previous_versions[instance.name]
-            instance.version = previous if rolling_back else rollout.version
-        instance.wanted = rollout.kind != RolloutKind.STOP and not remains_stopped
-        self.manager.save(instance)
+            version = previous if rolling_back else rollout.version
+        return DesiredState(rollout.kind != RolloutKind.STOP and not remains_stopped, version)
 
     def _next_instance(self, now_ms: float, rollout: Rollout) -> Instance | None:
         """Return the instance to start next; None if batch, spacing or minimum do not allow one now."""
@@ -149,7 +163,11 @@
             # The agent was killed between storing the step and SIGTERM, or just after it. Other instances may
             # have failed since, so the minimum is checked again before this instance is stopped.
             self.table.set_step(rollout, instance.name, StepState.PENDING)
-        elif not instance.wanted:
+            return
+        if (instance.wanted, instance.version) != self._desired_state(rollout, instance):
+            # The agent was killed between storing the step and the desired state, and the process has ended.
+            self._store_desired_state(rollout, instance)
+        if not instance.wanted:
             self.table.set_step(rollout, instance.name, StepState.DONE)
         else:
             self.table.set_step(rollout, instance.name, StepState.STARTING)
