Fleet rollouts: an abort ends steps whose order can no longer be carried out

Cause: the agent refuses the order for good, as it knows the abort. The leader takes a step that it ordered, and that no report shows, for one on its way (RolloutPass.observe_step), and orders it again for ever.

Evidence: order_refused why="abort: asked to" each 0.5 s beside fresh reports of the agent that don't show the step.

Change: such a step of an aborted rollout is ordered no more, and skipped at once if this leader has not ordered it (its agent refuses older terms), else by a report requested ORDER_LAPSE_MS after the order, which an agent refuses from MAX_ORDER_AGE_MS on. The same kind, found by reading: the order that resumes a step which its store had paused was refused for good under an abort or a pause; a step that has begun goes on now.

--- a/tests/fleet/test_coordinator.py
+++ b/tests/fleet/test_coordinator.py
@@ -8,6 +8,8 @@
 from testkit.simulation.agents import World, run_schedule
 from vetchford.fleet import rollout_controls
 from vetchford.fleet.consensus import Role
+from vetchford.fleet.coordinator_messages import StepOrder
+from vetchford.fleet.fleet_rollout_pass import ORDER_LAPSE_MS
 from vetchford.fleet.member_changes import DISMISSAL_SILENCE_MS, has_steps_in_progress
 from vetchford.fleet.tool_requests import REQUEST_TIMEOUT_MS
 
@@ -293,6 +295,100 @@
     )
 
 
+def abort_with_undelivered_order(world, leader, agent):
+    """Abort a roll of one instance whose step is committed, and whose order does not arrive."""
+    world.cut = {(leader, agent)}  # the agent's last report is fresh for 2 s
+    world.request_rollout(leader, "r1", "roll", [f"n0@{agent}"], version="v2")
+    controller = world.machines[leader].coordinator.controller
+    assert world.run(world.now + 1500.0, lambda: has_steps_in_progress(controller.record, agent))
+    world.run(world.now + 100.0)  # until the order was sent
+    world.request(leader, "abort", id="r1")
+
+
+def check_that_the_abort_ends(world, leader, agent, within_ms, steps):
+    assert world.run(world.now + within_ms, lambda: world.has_ended("r1")), world.find_rollout("r1")
+    rollout = world.find_rollout("r1")
+    assert rollout["state"] == "aborted" and rollout["steps"][f"n0@{agent}"] in steps
+    world.run(world.now + 1000.0)  # until this is committed
+    assert world.serving() == 20 and not world.violations()
+    world.request_rollout(leader, "r2", "roll", [f"n0@{agent}"], version="v2")
+    assert world.run(world.now + 30_000.0, lambda: world.has_ended("r2"))
+    assert world.find_rollout("r2")["state"] == "finished"
+
+
+def test_an_abort_ends_a_step_whose_order_did_not_arrive():
+    # Guards against an aborted change that is ordered for ever by its leader and refused by its agent.
+    world = start_world_without_faults()
+    leader = current_leaders(world)[0]
+    agent = next(name for name in world.names if name != leader)
+    abort_with_undelivered_order(world, leader, agent)
+    world.run(world.now + 3000.0)
+    world.heal()
+    check_that_the_abort_ends(world, leader, agent, within_ms=ORDER_LAPSE_MS + 2000.0, steps={"left"})
+
+
+def test_an_abort_ends_a_step_that_an_earlier_leader_had_committed():
+    # Guards against the same under a leader that has not sent the order itself.
+    world = start_world_without_faults()
+    leader = current_leaders(world)[0]
+    agent = next(name for name in world.names if name != leader)
+    abort_with_undelivered_order(world, leader, agent)
+    world.run(world.now + 500.0)
+    world.machines[leader].stop()
+    world.heal()
+    assert world.run(world.now + 20_000.0, lambda: bool(current_leaders(world)))
+    new_leader = current_leaders(world)[0]
+    world.machines[leader].start()
+    # "done": the new leader had not heard of the abort yet, and the step had begun.
+    check_that_the_abort_ends(world, new_leader, agent, within_ms=10_000.0, steps={"left", "done"})
+
+
+def test_an_abort_lets_a_step_go_on_that_its_store_had_paused():
+    # Guards against an instance that stays out of service, as its step is never resumed.
+    world = start_world_without_faults()
+    leader = current_leaders(world)[0]
+    agent = next(name for name in world.names if name != leader)
+    machine = world.machines[agent]
+    world.request_rollout(leader, "r1", "roll", [f"n0@{agent}"], version="v2")
+    local_rollout = "r1/n0/1"
+    assert world.run(world.now + 5000.0, lambda: local_rollout in machine.rollouts.rollouts)
+    machine.rollouts.table.pause_without_record(machine.rollouts.rollouts[local_rollout], "the store failed")
+    world.request(leader, "abort", id="r1")
+    assert world.run(world.now + 10_000.0, lambda: world.has_ended("r1")), world.find_rollout("r1")
+    assert world.find_rollout("r1")["state"] == "aborted"
+    assert world.run(world.now + 5000.0, lambda: world.serving() == 20) and not world.violations()
+
+
+def test_a_late_order_is_refused_after_an_abort_has_skipped_its_step():
+    # Guards against an instance that is taken out of service by a change that has ended.
+    world = start_world_without_faults()
+    leader = current_leaders(world)[0]
+    agent = next(name for name in world.names if name != leader)
+    sent_orders = []
+    leader_machine = world.machines[leader]
+    post = leader_machine.post
+
+    def hold_orders(to, kind, body):
+        if kind == StepOrder.KIND:
+            sent_orders.append((to, kind, body))
+            return True
+        return post(to, kind, body)
+
+    leader_machine.post = hold_orders
+    world.request_rollout(leader, "r1", "roll", [f"n0@{agent}"], version="v2")
+    assert world.run(world.now + 5000.0, lambda: bool(sent_orders))
+    leader_machine.post = post
+    world.request(leader, "abort", id="r1")
+    world.machines[agent].coordinator.controls.by_rollout.clear()  # as if it did not know the abort
+    assert world.run(world.now + ORDER_LAPSE_MS + 2000.0, lambda: world.has_ended("r1"))
+    for order in sent_orders:
+        post(*order)
+    world.run(world.now + 2000.0)
+    refusals = [entry["why"] for entry in world.history if entry["event"] == "order_refused"]
+    assert refusals and set(refusals) == {"it rests on a report that is old"}
+    assert world.serving() == 20 and not world.violations()
+
+
 def test_merging_rollout_controls_is_commutative_and_idempotent():
     generator = random.Random(5)
     copies = [rollout_controls.RolloutControls(name) for name in "abc"]
--- a/vetchford/fleet/coordinator.py
+++ b/vetchford/fleet/coordinator.py
@@ -267,7 +267,10 @@
         """Carry out a step, or log why it was refused."""
         step = order.step
         is_current_leader = self.is_current_leader(sender, order.term)
-        refusal = self.order_guard.find_refusal(now_ms, sender, order, is_current_leader=is_current_leader)
+        has_begun = step.id in self.actions.report({step.rollout_id})["locals"]
+        refusal = self.order_guard.find_refusal(
+            now_ms, sender, order, is_current_leader=is_current_leader, has_begun=has_begun
+        )
         refusal = refusal or self.actions.begin_step(step)
         if refusal:
             self.actions.log_event("order_refused", span=step.rollout_id, instance=step.name, why=refusal)
--- a/vetchford/fleet/fleet_rollout.py
+++ b/vetchford/fleet/fleet_rollout.py
@@ -185,7 +185,12 @@
                 del self.queue[:applied_count]
             return
         del self.queue[:applied_count]
-        self.dispatcher.order_committed_steps(self.committed_availability(now_ms))
+        self.dispatcher.order_committed_steps(self.committed_availability(now_ms), self.aborted_rollouts())
+
+    def aborted_rollouts(self) -> set[str]:
+        """Return the ids of the unfinished rollouts that were aborted, as far as this agent knows."""
+        ids = [rollout.id for rollout in self.record.unfinished()]
+        return {id for id in ids if self.controls.active_control(id).kind == ABORT}
 
     def apply_queued(self, proposal: FleetRecord) -> int:
         """Add queued entries to a proposal, up to the first member change; return the number of entries."""
--- a/vetchford/fleet/fleet_rollout_pass.py
+++ b/vetchford/fleet/fleet_rollout_pass.py
@@ -12,6 +12,7 @@
 | which steps a resume tries again | `retry_failed_steps` |
 | when a step has ended | `observe_step`, `end_step` |
 | a committed step that may no longer begin | `withdraw_unordered_step` |
+| a committed step of an aborted rollout | `skip_step_not_begun` |
 | what follows a failure | `fail_step`, `roll_back` |
 | which steps begin now | `start_steps`, `startable_steps`, `Availability.describe_shortfall` |
 | when and how the rollout ends | `finish`, `set_outcome` |
@@ -37,6 +38,7 @@
 
 # States of an instance that is being stopped already.
 BUSY_STATES = frozenset((InstanceState.DRAINING, InstanceState.STOPPING))
+ORDER_LAPSE_MS = 5000.0  # above `order_guard.MAX_ORDER_AGE_MS` by any two clocks: the order is refused then
 LEADER_PAUSE_PREFIX = "driver"  # of the id, in the record, of a pause that the leader made itself
 
 
@@ -68,6 +70,7 @@
         self.log_event = log_event
         self.now_ms = availability.now_ms
         self.view = availability.view
+        self.aborted = False
 
     # -- pause, resume and abort
 
@@ -79,6 +82,7 @@
         """
         rollout = self.rollout
         if control.kind == ABORT:
+            self.aborted = True
             self.skip_pending_steps()
             rollout.reason = control.reason
         elif control.kind and rollout.state == RolloutState.RUNNING:
@@ -122,7 +126,9 @@
         result = view.result(attempt_id)
         if result is None:
             was_ordered = attempt_id in view.ordered_at_ms
-            if not was_ordered:
+            if self.aborted:
+                self.skip_step_not_begun(key)
+            elif not was_ordered:
                 self.withdraw_unordered_step(key)
             return
         if result.is_unfinished():
@@ -143,6 +149,19 @@
         if self.availability.describe_shortfall(self.rollout, key):
             self.rollout.steps[key] = StepState.PENDING
 
+    def skip_step_not_begun(self, key: str) -> None:
+        """Skip a committed step of an aborted rollout that its agent has not begun and can no longer begin.
+
+        The step is ordered no more. Its agent has reported to this leader, so it refuses orders of earlier
+        leaders; one of this leader has lapsed if the report was requested `ORDER_LAPSE_MS` after it.
+        """
+        view = self.view.agents[agent_of(key)]
+        attempt_id = self.rollout.attempt_id(key)
+        ordered_at_ms = view.ordered_at_ms.get(attempt_id)
+        if ordered_at_ms is None or view.requested_at_ms - ordered_at_ms > ORDER_LAPSE_MS:
+            view.ordered_at_ms.pop(attempt_id, None)
+            self.rollout.steps[key] = StepState.SKIPPED
+
     def end_step(self, key: str, result: AttemptResult) -> None:
         """End a step whose local rollout has ended, with success or not.
 
--- a/vetchford/fleet/order_guard.py
+++ b/vetchford/fleet/order_guard.py
@@ -29,12 +29,15 @@
         while len(self.reports_sent_at_ms) > MAX_KNOWN_REPORTS:
             del self.reports_sent_at_ms[next(iter(self.reports_sent_at_ms))]
 
-    def find_refusal(self, now_ms: float, sender: str, order: StepOrder, *, is_current_leader: bool) -> str:
+    def find_refusal(
+        self, now_ms: float, sender: str, order: StepOrder, *, is_current_leader: bool, has_begun: bool
+    ) -> str:
         """Return why an order must not be carried out, as text for the log; empty if it may be.
 
         An order is carried out only if it is of the highest term that this agent has voted in
         (`is_current_leader`), is based on a report that this agent sent at most `MAX_ORDER_AGE_MS` ago, and
-        this agent knows of no pause or abort of its rollout.
+        this agent knows of no pause or abort of its rollout. A step that has begun (`has_begun`), and that
+        the order resumes after a failure of the store, goes on to its end whatever the control.
         """
         if not is_current_leader:
             return f"term {order.term} of {sender}, voted in term {self.record.promised_term}"
@@ -42,6 +45,6 @@
         if report_sent_at_ms is None or now_ms - report_sent_at_ms > MAX_ORDER_AGE_MS:
             return "it rests on a report that is old"
         control = self.controls.active_control(order.step.rollout_id)
-        if control.kind:
+        if control.kind and not has_begun:
             return f"{control.kind}: {control.reason}"
         return ""
--- a/vetchford/fleet/step_dispatcher.py
+++ b/vetchford/fleet/step_dispatcher.py
@@ -1,5 +1,6 @@
 """Sends the leader's orders to carry out committed steps. No I/O; times in ms."""
 
+from collections.abc import Container
 from typing import Protocol
 
 from vetchford.fleet.availability import Availability
@@ -28,21 +29,25 @@
         """Start with the controller's actions."""
         self.actions = actions
 
-    def order_committed_steps(self, committed: Availability) -> None:
+    def order_committed_steps(self, committed: Availability, aborted: Container[str]) -> None:
         """Order the committed steps that a fresh report shows as not begun, also those of an earlier leader.
 
-        `committed`: the availability of instances by the committed record and the reports.
+        Args:
+            committed: the availability of instances by the committed record and the reports.
+            aborted: ids of rollouts that were aborted; of those only steps that have begun are ordered.
         """
         for rollout in committed.record.unfinished():
             for key, step in rollout.steps.items():
                 if step == StepState.IN_PROGRESS and committed.is_fresh(agent_of(key)):
-                    self.order_step(committed, rollout, key)
+                    self.order_step(committed, rollout, key, rollout.id in aborted)
 
-    def order_step(self, committed: Availability, rollout: FleetRollout, key: str) -> None:
+    def order_step(self, committed: Availability, rollout: FleetRollout, key: str, is_aborted: bool) -> None:
         """Order one step, unless its agent has begun it or was sent the order recently."""
         name, agent = split_instance_key(key)
         view = committed.view.agents[agent]
         attempt_id = rollout.attempt_id(key)
+        if is_aborted and view.result(attempt_id) is None:
+            return
         if not self.needs_order(committed, rollout, key, view):
             return
         view.ordered_at_ms[attempt_id] = committed.now_ms
