--- a/tests/golden/harness.py
+++ b/tests/golden/harness.py
@@ -106,8 +106,8 @@
     if isinstance(expected, dict) and isinstance(actual, dict):
         assert list(actual) == list(expected)
         for key, value in expected.items():
-            assert actual[key] == value, f"{name}: {key}"
-    assert actual == expected
+            assert actual[key] == value, f"{name}: {key}: {actual[key]!r} is not {value!r}"
+    assert actual == expected, f"{name}: {actual!r} is not {expected!r}"
 
 
 class LineCollector:
