Fleet signals: an outage longer than a report can say is not taken for over

Cause: the time since the last answer is sent as at most 10 s and compared with the time since the service was found unavailable, which goes on growing (records_health.has_answered_since).

Change: a report at its maximum says nothing about when; the time is then unknown. Reports keep their form.

After: one server probes in all of them, and all call again within 3 s of the end.

--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -221,6 +221,81 @@
     assert policy.records_health.state is RecordsState.HEALTHY
 
 
+class OutageSimulation:
+    """Five servers without a network between them but their reports, and an outage of the records service.
+
+    A server calls as its signals allow; one call at a time is the probe of whoever holds the only lease. A
+    call is answered once the outage has ended, else it is lost.
+    """
+
+    STEP_MS = 100.0
+    REPORT_DELAY_MS = 300.0
+    NAMES = tuple(f"n{n}" for n in range(5))
+
+    def __init__(self, outage_ms):
+        self.outage_ms = outage_ms
+        self.now_ms = 0.0
+        self.servers = {}
+        self.last_answer_at_ms = dict.fromkeys(self.NAMES, 0.0)
+        for name in self.NAMES:
+            load_gossip, actions = make_gossip(list(self.NAMES), name, METRICS)
+            self.servers[name] = (load_gossip, FleetSignalPolicy(actions, name, 1, load_gossip), actions)
+        self.in_flight = []  # (time of arrival, sender, report)
+
+    def step(self):
+        """Advance by `STEP_MS`; return the servers that call in this step."""
+        self.now_ms += self.STEP_MS
+        self._deliver_reports()
+        callers = []
+        for name, (load_gossip, policy, actions) in self.servers.items():
+            actions.holds_lease = actions.is_lease_requested and name == self._lease_holder()
+            calls = policy.update(self.now_ms).call_capacity > 0.0
+            if calls:
+                callers.append(name)
+                if self.now_ms > self.outage_ms:
+                    self.last_answer_at_ms[name] = self.now_ms
+            self._report(name, load_gossip, calls)
+        return callers
+
+    def states(self):
+        return {policy.records_health.state for _, policy, _ in self.servers.values()}
+
+    def _lease_holder(self):
+        return next((name for name, server in self.servers.items() if server[2].is_lease_requested), None)
+
+    def _report(self, name, load_gossip, calls):
+        values = {"well": self.now_ms - self.last_answer_at_ms[name]}
+        if calls:
+            values["lost"] = 1.0 if self.now_ms <= self.outage_ms else 0.0
+        load_gossip.report_own(self.now_ms, values)
+        report = load_gossip.reports[name]
+        encoded = [[name, report.incarnation, report.sequence, self.REPORT_DELAY_MS, report.values]]
+        self.in_flight.append((self.now_ms + self.REPORT_DELAY_MS, name, encoded))
+
+    def _deliver_reports(self):
+        due = [entry for entry in self.in_flight if entry[0] <= self.now_ms]
+        self.in_flight = [entry for entry in self.in_flight if entry[0] > self.now_ms]
+        for _, sender, encoded in due:
+            for name, (load_gossip, _, _) in self.servers.items():
+                if name != sender:
+                    deliver(load_gossip, self.now_ms, sender, encoded)
+
+
+@pytest.mark.parametrize("outage_s", [5, 11, 20, 120])
+def test_one_server_probes_in_an_outage_of_any_length(outage_s):
+    # Guards against an outage that all servers take for over after some 10 s, the most that a report can say.
+    simulation = OutageSimulation(1000.0 * outage_s)
+    while simulation.states() != {RecordsState.UNAVAILABLE}:
+        simulation.step()
+    assert simulation.now_ms <= 2000.0
+    while simulation.now_ms < simulation.outage_ms:
+        assert len(simulation.step()) == 1
+    ended_at_ms = simulation.now_ms
+    while simulation.states() != {RecordsState.HEALTHY}:
+        simulation.step()
+        assert simulation.now_ms - ended_at_ms < 3000.0
+
+
 def test_a_server_tests_the_service_itself_if_no_server_reports_a_probe():
     load_gossip, policy, _ = make_policy()
     report_from_all(load_gossip, 0.0, 1, lost=1.0, well=2000.0)
--- a/vetchford/gossip/metrics.py
+++ b/vetchford/gossip/metrics.py
@@ -5,6 +5,7 @@
 
 RESOLUTION = 1000  # steps: a value is sent in thousandths of its maximum
 UNKNOWN = -1  # sent in place of a value that a server does not report
+MAX_SINCE_LAST_ANSWER_MS = 10_000.0  # in a report; it stands for any longer time
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +38,7 @@
 METRICS = (  # in wire order
     MetricDefinition(Metric.CALL_SLOWDOWN, 64.0),
     MetricDefinition(Metric.LOST_CALLS, 1.0),
-    MetricDefinition(Metric.SINCE_LAST_ANSWER, 10_000.0),
+    MetricDefinition(Metric.SINCE_LAST_ANSWER, MAX_SINCE_LAST_ANSWER_MS),
     MetricDefinition(Metric.REJECTED_REQUESTS, 1.0),
     MetricDefinition(Metric.MEMORY, 1.0),
     MetricDefinition(Metric.REQUEST_RATE, 100_000.0),
--- a/vetchford/gossip/records_health.py
+++ b/vetchford/gossip/records_health.py
@@ -17,7 +17,7 @@
 
 from vetchford.gossip.aggregation import Aggregate, Sample
 from vetchford.gossip.load_gossip import LoadGossip
-from vetchford.gossip.metrics import Metric
+from vetchford.gossip.metrics import MAX_SINCE_LAST_ANSWER_MS, Metric
 
 SLOW_FACTOR = 2.5  # multiple of the usual duration of a call
 NO_LONGER_SLOW_FACTOR = 1.7
@@ -157,9 +157,13 @@
             self.set_state(now_ms, RecordsState.RECOVERING, "no server reports a probe")
 
     def _since_last_answer_ms(self, now_ms: float) -> float:
-        """Return the time since the last answer to any server that this server knows of."""
+        """Return the time since the last answer to any server that this server knows of.
+
+        Infinite if no report says when: the longest time that a report can hold stands for any longer one.
+        """
         samples = self.reports.samples(now_ms, Metric.SINCE_LAST_ANSWER)
-        return min((sample.value + sample.age_ms for sample in samples), default=math.inf)
+        known = [sample for sample in samples if sample.value < MAX_SINCE_LAST_ANSWER_MS]
+        return min((sample.value + sample.age_ms for sample in known), default=math.inf)
 
 
 def is_slow(slowdown: Aggregate) -> bool:
