Log: the text form takes counters that have a reason in their name

What is seen: a server in a fleet that has refused a peer logs part_broke in place of its summary, and no summary after that.

Cause: counters by event and reason have a space in their names, which the text form refuses as a key (structlog's LogfmtRenderer), so log_summary raised before it scheduled the next one. Found by the review by reading.

Change: the text form writes an underscore; counters and the JSON form are as before.

Failed before with "Invalid key": the new test. After: it holds.

--- a/tests/runtime/test_log_setup.py
+++ b/tests/runtime/test_log_setup.py
@@ -36,3 +36,19 @@
     reader.close()
     log_socket.close()
     log_setup.start("error", "text", io.StringIO())
+
+
+def test_the_summary_is_written_in_both_forms_if_a_counter_has_a_reason_in_its_name():
+    # Guards against a summary that raises, and is then never logged again, in the text form of the log.
+    metrics = Metrics()
+    metrics.increment("peer_refused no_handshake")
+    for log_format, expected in (
+        ("text", "peer_refused_no_handshake=1"),
+        ("json", '"peer_refused no_handshake": 1'),
+    ):
+        file = io.StringIO()
+        writer = log_setup.start("info", log_format, file)
+        metrics.log_summary(open=0)
+        writer.close()
+        assert expected in file.getvalue()
+    log_setup.start("error", "text", io.StringIO())
--- a/vetchford/runtime/log_setup.py
+++ b/vetchford/runtime/log_setup.py
@@ -10,6 +10,7 @@
 from typing import Any, TextIO
 
 import structlog
+from structlog.typing import EventDict
 
 MAX_QUEUED_LINES = 1000  # a few hundred bytes each; more are dropped, and the next line has their number
 FLUSH_TIMEOUT_S = 0.2  # at the end; lines that the reader of the log has not accepted by then are dropped
@@ -65,7 +66,7 @@
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            _renderer(log_format),
+            *_renderers(log_format),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
         logger_factory=lambda *arguments: writer,
@@ -74,7 +75,16 @@
     return writer
 
 
-def _renderer(log_format: str) -> Any:
+def _renderers(log_format: str) -> list[Any]:
     if log_format == "json":
-        return structlog.processors.JSONRenderer()
-    return structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"], bool_as_flag=False)
+        return [structlog.processors.JSONRenderer()]
+    key_order = ["timestamp", "level", "event"]
+    return [
+        _join_words_of_keys,
+        structlog.processors.LogfmtRenderer(key_order=key_order, bool_as_flag=False),
+    ]
+
+
+def _join_words_of_keys(_logger: Any, _method: str, fields: EventDict) -> EventDict:
+    """Replace spaces in keys, for which the text form has no place: a counter by reason has one."""
+    return {key.replace(" ", "_"): value for key, value in fields.items()}
