Worker pool: only a write that may not block is tried again as if nothing was written

Need: read once more, an error of a blocking write that says it would block would leave the commands unmarked, and the rest of the write would go on with them. The socket has no time limit, so this can't occur today.

Change: such an error breaks the link in a blocking write, as any other does.

Measured: the race tests of commands hold, as before.

--- a/vetchford/server/worker_pool.py
+++ b/vetchford/server/worker_pool.py
@@ -138,7 +138,7 @@
         except OSError as error:
             for command in commands:
                 command.written = False
-            if isinstance(error, BlockingIOError):
+            if not blocking and isinstance(error, BlockingIOError):
                 return
             raise
         self.outgoing = unsent(self.outgoing, written_bytes)
