Worker pool: a line of any length harms only its own message, and ends no link

Cause: a line of over 65,536 bytes ended the link, and the pool repeats an unread notice first on the next link. Related: a call body of over 48 KiB did the same; a short remark with more than 32 brackets ended one link.

Change: a long line is read to its end in bounded memory, and its short fields are kept. A remark counts as read; a call that can't be read is skipped or its request is failed at once; a result that can't be read fails its request. New lines `pool_long_line`, `pool_call_unreadable`.

--- a/vetchford/admission/controller.py
+++ b/vetchford/admission/controller.py
@@ -120,13 +120,7 @@
 
     def run_blocked(self, now_ms: float, index: int) -> None:
         """Make the call that a run waits for, queue the call, or resume the run without it."""
-        request = self.workload.requests[index]
-        self.unconfirmed_commands.run_reported(index)
-        self.workload.running -= 1
-        self.capacity.run_blocked(now_ms, request)
-        self.health.run_left_cores(now_ms)
-        request.state = RequestState.WAITING_FOR_CALL
-        request.wait_started(now_ms)
+        request = self._leave_cores(now_ms, index)
         if not request.answered:  # the run of an answered request ends without its call
             self.workload.waiting[index] = request
             self.dependency_calls.start_calls(now_ms)
@@ -134,6 +128,13 @@
                 self.dependency_calls.skip(now_ms, request)
         self.scheduler.dispatch(now_ms)
 
+    def call_impossible(self, now_ms: float, index: int) -> None:
+        """Resume a run without the call that it waits for, or fail its request at once."""
+        request = self._leave_cores(now_ms, index)
+        if not request.answered:
+            self._continue_without_call(now_ms, request)
+        self.scheduler.dispatch(now_ms)
+
     def call_ended(self, now_ms: float, index: int, outcome: str, took_ms: float) -> None:
         """Resume the run, queue its call again if the dependency never ran it, or fail the request."""
         request = self.workload.requests[index]
@@ -194,6 +195,17 @@
         self.health.request_read(arrival.queued_for_ms, request_class.latency_objective_ms)
         return request
 
+    def _leave_cores(self, now_ms: float, index: int) -> Request:
+        """Count a run as waiting for a call, and return its request."""
+        request = self.workload.requests[index]
+        self.unconfirmed_commands.run_reported(index)
+        self.workload.running -= 1
+        self.capacity.run_blocked(now_ms, request)
+        self.health.run_left_cores(now_ms)
+        request.state = RequestState.WAITING_FOR_CALL
+        request.wait_started(now_ms)
+        return request
+
     def _release_run(self, now_ms: float, request: Request, outcome: str, took_ms: float) -> None:
         workload = self.workload
         self.capacity.run_ended(now_ms, request)
--- a/vetchford/admission/events.py
+++ b/vetchford/admission/events.py
@@ -21,6 +21,9 @@
     def run_blocked(self, now_ms: float, index: int) -> None:
         """Handle a run that waits for a dependency call; delivered only if the server has a dependency."""
 
+    def call_impossible(self, now_ms: float, index: int) -> None:
+        """Handle a run that waits for a dependency call that can't be made; else as `run_blocked`."""
+
     def call_ended(self, now_ms: float, index: int, outcome: str, took_ms: float) -> None:
         """Handle the end of a dependency call, which took `took_ms` and ended with an `Outcome`."""
 
--- a/vetchford/protocol/worker_pool_lines.py
+++ b/vetchford/protocol/worker_pool_lines.py
@@ -12,10 +12,12 @@
 
 from vetchford.admission.request import Outcome
 from vetchford.errors import VetchfordError
+from vetchford.protocol.line_scanner import TOO_LONG, LineScanner, MalformedLineError
 from vetchford.protocol.receive_buffer import ReceiveBuffer
 
-MAX_LINE_BYTES = 65_536  # results of 4 KiB are 5.5 KB in base64; the specification sets no limit on calls
-MAX_BRACKETS = 32  # in a line: deep nesting would overflow the stack of the JSON parser
+MAX_LINE_BYTES = 65_536  # of a line that is parsed whole; of a longer one, short fields are kept
+MAX_LONG_LINE_FIELD_BYTES = 8192  # results of 4 KiB are 5.5 KB in base64
+MAX_BRACKETS = 32  # in a line that is parsed whole: deep nesting would overflow the stack of the JSON parser
 MAX_DURATION_MS = 1e12
 
 FINISHED = "finished"
@@ -32,6 +34,7 @@
     "cancelled": Outcome.RECALLED,
     "unknown": Outcome.SUPERSEDED,
 }
+FIELDS = frozenset(("type", "n", "job", "state", "took", "data", "ref", "gauges"))
 MAX_LOGGED_COMMAND = 20  # characters
 MAX_LOGGED_REQUEST_ID = 64  # characters
 
@@ -53,7 +56,8 @@
     """One line of the pool, decoded but not checked."""
 
     type: str
-    fields: dict[str, Any]
+    fields: dict[str, Any]  # `TOO_LONG` for the long fields of a long line
+    long_line_bytes: int = 0  # length of the line if it is longer than MAX_LINE_BYTES, else 0
 
 
 class RunEnded(NamedTuple):
@@ -70,7 +74,7 @@
 
     request_id: str
     notice_number: int
-    body: bytes  # body of the call
+    body: bytes | None  # body of the call; None if it can't be read, so that the call can't be made
 
 
 class PollAnswer(NamedTuple):
@@ -100,6 +104,8 @@
 def next_line(buffer: ReceiveBuffer) -> memoryview | None:
     """Return the next line, valid until more is received; None while it is incomplete.
 
+    `WorkerPoolStream` handles lines that are longer.
+
     Raises:
         UnreadableStreamError: The line is longer than MAX_LINE_BYTES.
     """
@@ -115,14 +121,29 @@
     """
     try:
         text = str(line, "utf-8")
-        if text.count("[") + text.count("{") > MAX_BRACKETS:
-            raise ValueError("nested too deeply")
-        message = json.loads(text)
-    except (ValueError, RecursionError) as error:
+        if text.count("[") + text.count("{") > MAX_BRACKETS:  # nested deeply, or brackets in a string
+            return _scan(bytes(line))
+        fields = json.loads(text)
+    except (ValueError, RecursionError, MalformedLineError) as error:
         raise BadLineError(f"not valid JSON: {type(error).__name__}") from None
-    if not isinstance(message, dict) or not isinstance(message.get("type"), str):
+    return message_of(fields)
+
+
+def message_of(fields: Any, long_line_bytes: int = 0) -> Message:
+    """Return the message with these fields.
+
+    Raises:
+        BadLineError: `fields` is not an object with a type.
+    """
+    if not isinstance(fields, dict) or not isinstance(fields.get("type"), str):
         raise BadLineError("message must be an object with a string in field 'type'")
-    return Message(message["type"], message)
+    return Message(fields["type"], fields, long_line_bytes)
+
+
+def _scan(line: bytes) -> Message:
+    scanner = LineScanner(FIELDS, MAX_LONG_LINE_FIELD_BYTES)
+    scanner.feed(line)
+    return message_of(scanner.finish())
 
 
 def _field(fields: dict[str, Any], key: str, kinds: type | tuple[type, ...]) -> Any:
@@ -160,6 +181,8 @@
     if state not in RUN_OUTCOMES:
         raise BadLineError("field 'state' is not a known outcome of a run")
     data = fields.get("data")
+    if data is TOO_LONG:  # a replay of the notice would be as long
+        return RunEnded(_field(fields, "job", str), Outcome.ERRORED, _duration(fields), "")
     if state == "complete" and not isinstance(data, str):
         raise BadLineError("field 'data' is missing or is not a string")
     return RunEnded(_field(fields, "job", str), RUN_OUTCOMES[state], _duration(fields), data or "")
@@ -171,6 +194,8 @@
     Raises:
         BadLineError: A field is missing or wrong.
     """
+    if fields.get("data") is TOO_LONG:
+        return RunBlocked(_field(fields, "job", str), _field(fields, "n", int), None)
     try:
         body = base64.b64decode(fields.get("data") or "", validate=True)
     except (ValueError, TypeError, binascii.Error):
@@ -184,9 +209,14 @@
     return number if isinstance(number, int) else None
 
 
-def errored_run_end(fields: dict[str, Any]) -> RunEnded:
-    """Return an errored run for a `finished` notice whose fields are invalid."""
-    return RunEnded(str(fields.get("job")), Outcome.ERRORED, 0.0, "")
+def replacement_for_invalid(notice_type: str, fields: dict[str, Any]) -> RunEnded | RunBlocked | None:
+    """Return what is known from a notice whose fields are invalid: its run has ended, or is blocked."""
+    request_id = str(fields.get("job"))
+    if notice_type == FINISHED:
+        return RunEnded(request_id, Outcome.ERRORED, 0.0, "")
+    if notice_type == BLOCKED:
+        return RunBlocked(request_id, notice_number(fields) or 0, None)
+    return None
 
 
 def decode_command_unknown(fields: dict[str, Any]) -> CommandUnknown:
--- a/vetchford/server/admission_actor.py
+++ b/vetchford/server/admission_actor.py
@@ -183,8 +183,8 @@
             for command in self.state.commands.poll_answered(number):
                 self.run_events.command_unconfirmed(self._bound_controller(), command)
 
-    def run_blocked(self, request_id: str, notice: int, body: bytes) -> None:
-        """Handle the notice that a run waits for a dependency call."""
+    def run_blocked(self, request_id: str, notice: int, body: bytes | None) -> None:
+        """Handle the notice that a run waits for a dependency call; `body` is None if it can't be read."""
         self.run_events.run_blocked(self._bound_controller(), request_id, notice, body)
 
     def run_ended(self, request_id: str, outcome: Outcome, duration_ms: float, content: str) -> None:
--- a/vetchford/server/run_events.py
+++ b/vetchford/server/run_events.py
@@ -41,19 +41,27 @@
         self.calls = state.calls
         self.load_sampler = load_sampler
 
-    def run_blocked(self, controller: AdmissionController, request_id: str, notice: int, body: bytes) -> None:
-        """Handle the notice that a run waits for a dependency call; `notice` is the notice's number."""
+    def run_blocked(
+        self, controller: AdmissionController, request_id: str, notice: int, body: bytes | None
+    ) -> None:
+        """Handle the notice with number `notice` that a run waits for a dependency call.
+
+        `body`: None if it can't be read, so that the call can't be made.
+        """
         index = self._find_run(controller, request_id, EXECUTING_STATES)
         if index is None:
             return
         entry = self.requests[index]
         entry.command = None
         entry.blocked_notice = notice
-        entry.call_body = body
         if controller.workload.dependency is None:  # passed on, it would make the controller raise each tick
             self._count_unexpected_notice(request_id, known=True)
-            return
-        controller.run_blocked(self.clock.now_ms(), index)
+        elif body is None:
+            self.metrics.log_sampled("pool_call_unreadable", task=request_id[:MAX_LOGGED_ID_LENGTH])
+            controller.call_impossible(self.clock.now_ms(), index)
+        else:
+            entry.call_body = body
+            controller.run_blocked(self.clock.now_ms(), index)
 
     def run_ended(
         self,
--- a/vetchford/server/worker_pool.py
+++ b/vetchford/server/worker_pool.py
@@ -6,8 +6,15 @@
 
 from vetchford.admission.request import Outcome
 from vetchford.protocol import worker_pool_lines
-from vetchford.protocol.receive_buffer import ReceiveBuffer, UnreadableStreamError
-from vetchford.protocol.worker_pool_lines import BadLineError, RunBlocked, RunEnded, UnknownMessageError
+from vetchford.protocol.receive_buffer import UnreadableStreamError
+from vetchford.protocol.worker_pool_lines import (
+    BadLineError,
+    Message,
+    RunBlocked,
+    RunEnded,
+    UnknownMessageError,
+)
+from vetchford.protocol.worker_pool_stream import WorkerPoolStream
 from vetchford.runtime.actor import Mailbox, PooledActor
 from vetchford.runtime.metrics import Metrics
 from vetchford.runtime.sockets import MAX_PARTS_PER_WRITE, send_parts, shut_down, unsent
@@ -16,6 +23,7 @@
 
 RECONNECT_DELAY_S = 0.02  # short, as runs continue without a link and the worker pool is on the same machine
 MAX_RECONNECT_DELAY_S = 0.5  # the delay doubles up to this while connections are refused
+MAX_LOGGED_TYPE_LENGTH = 20  # characters
 CONNECT_TIMEOUT_S = 2.0  # far more than a connection on one machine takes
 
 
@@ -34,8 +42,8 @@
     def run_ended(self, request_id: str, outcome: Outcome, duration_ms: float, content: str) -> None:
         """Handle the end of a run; `content` is its result in base64."""
 
-    def run_blocked(self, request_id: str, notice: int, body: bytes) -> None:
-        """Handle the notice that a run waits for a dependency call with this body."""
+    def run_blocked(self, request_id: str, notice: int, body: bytes | None) -> None:
+        """Handle the notice that a run waits for a dependency call; `body` is None if it can't be read."""
 
     def command_unknown(self, command: str, request_id: str) -> None:
         """Handle the worker pool's report that it did not carry out a command."""
@@ -184,23 +192,37 @@
         return "closed"
 
     def _read(self, sock: socket.socket) -> None:
-        buffer = ReceiveBuffer(2 * worker_pool_lines.MAX_LINE_BYTES)
-        while count := sock.recv_into(buffer.free_space()):
-            buffer.add_received(count)
-            while (line := worker_pool_lines.next_line(buffer)) is not None:
-                self._handle_line(line)
-
-    def _handle_line(self, line: memoryview) -> None:
+        stream = WorkerPoolStream()
+        while count := sock.recv_into(stream.free_space()):
+            stream.add_received(count)
+            while self._handle_next_message(stream):
+                pass
+
+    def _handle_next_message(self, stream: WorkerPoolStream) -> bool:
+        """Handle the next line; return False if it is incomplete."""
         try:
-            message = worker_pool_lines.decode(line)
+            message = stream.next_message()
         except BadLineError as error:
             self.metrics.log_sampled("pool_bad_line", problem=str(error))
             self._request_again(self.last_notice + 1)  # the line may have been the next notice
-            return
+            return True
+        if message is None:
+            return False
+        if message.long_line_bytes:
+            self._log_long_line(message)
         try:
-            self.handle_message(*message)
+            self.handle_message(message.type, message.fields)
         except BadLineError as error:
             self.metrics.log_sampled("pool_bad_line", problem=str(error))
+        return True
+
+    def _log_long_line(self, message: Message) -> None:
+        self.metrics.log_sampled(
+            "pool_long_line",
+            type=message.type[:MAX_LOGGED_TYPE_LENGTH],
+            n=worker_pool_lines.notice_number(message.fields),
+            bytes=message.long_line_bytes,
+        )
 
     def _request_again(self, number: int) -> None:
         """Close the link, so that the worker pool replays notice `number` on the next link.
@@ -259,9 +281,8 @@
         except BadLineError:
             self._request_again(number)
             self.last_notice = number
-            if notice_type == worker_pool_lines.FINISHED:
-                # The run has ended, although its result is unreadable; it must not occupy a core any longer.
-                self._post_notice(worker_pool_lines.errored_run_end(fields))
+            # The run has ended or waits, although the rest is unreadable; it must not occupy a core longer.
+            self._post_notice(worker_pool_lines.replacement_for_invalid(notice_type, fields))
             raise
         self.last_notice = number
         self._post_notice(notice)
