Clients: what a client wrote before it reset its connection is not sent on

Cause: the kernel still returns the bytes that arrived before a reset, and the reader posted them all before it saw the error; requests that waited in the mailbox were admitted though their client was known to be gone. Shown by stopping the server, writing 60 requests, resetting and letting it go on: two of them ran (as many as there were slots).

Change: the reader asks the socket for its error before each message, and the admission actor drops a request whose connection has broken (`callers_gone_unread`).

--- a/testkit/fakes/peers.py
+++ b/testkit/fakes/peers.py
@@ -91,6 +91,7 @@
 
     def serve(self, sock: socket.socket) -> None:
         """Start a thread that reads a new connection."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         threading.Thread(target=self.read, args=(sock, sock.makefile("rb")), daemon=True).start()
 
     def read(self, sock: socket.socket, lines: BinaryIO) -> None:
@@ -146,6 +147,10 @@
             if message["type"] == "bind":
                 self._bind(sock, message["n"])
             self.received.put((message["type"], message))
+            self.on_message(message)
+
+    def on_message(self, message: dict[str, Any]) -> None:
+        """Handle a message other than `poll`; does nothing, as the test decides."""
 
     def _bind(self, sock: socket.socket, last_read_number: int) -> None:
         self.up.wait()
--- a/testkit/fakes/server_process.py
+++ b/testkit/fakes/server_process.py
@@ -57,16 +57,23 @@
     if os.environ.get("VETCHFORD_RUN"):  # the start command of the release build
         COMMAND = ("/bin/sh", "-c", os.environ["VETCHFORD_RUN"])
 
-    def __init__(self, folder: Path, options: ServerOptions = DEFAULT_OPTIONS, **settings: Any) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        options: ServerOptions = DEFAULT_OPTIONS,
+        pool: ScriptedWorkerPool | None = None,
+        **settings: Any,
+    ) -> None:
         """Start the server and wait until it listens and, if its pool is `up`, has reported as ready.
 
         Args:
             folder: for the configuration.
             options: of the server.
+            pool: the worker pool; without it, one that does as the test says.
             settings: platform settings that replace the default ones.
         """
         self.options = options
-        self.pool = ScriptedWorkerPool(options.cold, options.up)
+        self.pool = pool or ScriptedWorkerPool(options.cold, options.up)
         self.records = ScriptedRecordsService(options.records_up)
         self.members = registry_socket()
         self.config = folder / "config.json"
--- a/tests/server/test_admission_actor.py
+++ b/tests/server/test_admission_actor.py
@@ -85,6 +85,9 @@
     def close_idle(self, idle_timeout_ms):
         pass
 
+    def is_gone(self):
+        return False
+
     def answer(self, rpc_id, parts):
         request = self.requests[rpc_id]
         message = json.loads(b"".join(parts).split(b"\r\n\r\n")[1])
--- a/vetchford/server/client_connection.py
+++ b/vetchford/server/client_connection.py
@@ -3,6 +3,7 @@
 The actor owns the socket; `connection_state` decides what the connection waits for and when it is closed.
 """
 
+import os
 import socket
 import threading
 import time
@@ -155,6 +156,7 @@
         state = self.state
         try:
             while (body := json_rpc.next_body(buffer)) is not None:
+                self._raise_if_reset()
                 state.message_received(time.monotonic())
                 if self.reading_stopped:
                     raise UnreadableStreamError("the worker pool does not know the requests of this client")
@@ -167,6 +169,19 @@
         if buffer.start < buffer.end:
             state.message_continues(time.monotonic())
 
+    def _raise_if_reset(self) -> None:
+        """Raise OSError if the client has reset the connection.
+
+        The kernel still returns the bytes that arrived before the reset, but nobody waits for their answers.
+        """
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, os.strerror(error))
+
+    def is_gone(self) -> bool:
+        """Return whether the connection broke, so that no answer can reach the client."""
+        return self.state.broken
+
     def _stop_parsing(self, reason: str) -> None:
         """Send `reason` as an error, and discard further input until all open requests are answered.
 
--- a/vetchford/server/request_admission.py
+++ b/vetchford/server/request_admission.py
@@ -38,7 +38,13 @@
     def request_arrived(
         self, controller: AdmissionController, client: Client, request: IncomingRequest
     ) -> None:
-        """Let the controller admit or reject a request; answer with an error if its id is in use."""
+        """Let the controller admit or reject a request; answer with an error if its id is in use.
+
+        A request whose client has left is dropped: it has not run, and nobody waits for its answer.
+        """
+        if client.is_gone():
+            self.metrics.increment("callers_gone_unread")
+            return
         if self.requests.find(request.request_id) is None:
             self._admit(controller, client, request)
             return
--- a/vetchford/server/request_table.py
+++ b/vetchford/server/request_table.py
@@ -16,6 +16,9 @@
     def answer(self, rpc_id: int, parts: list[bytes]) -> None:
         """Send the final answer of a request, as parts of one message."""
 
+    def is_gone(self) -> bool:
+        """Return whether the connection broke, so that no answer can reach the client."""
+
     def stop_reading(self) -> None:
         """Stop reading, and close the connection once all open requests are answered."""
 
