Request ids: one that ran with effects is not run again when it comes back

Cause: the id of a non-idempotent request was forgotten with the end of its run, so the same id was taken for a new request: after a reset, a close and a half-close of the first connection, and on an open one. Keyed requests were safe by their key. An id is new with every try by the protocol, so no load balancer is concerned.

Change: `RecentRequestIds` keeps the ids of requests that ran with effects for the longest time that any client waits; the second try gets the error for an id in use. The pool's word that nothing was started ends it at once.

--- a/vetchford/server/admission_actor.py
+++ b/vetchford/server/admission_actor.py
@@ -30,6 +30,7 @@
 from vetchford.server.calls_in_flight import CallsInFlight
 from vetchford.server.idempotency_cache import IdempotencyCache
 from vetchford.server.listener import Listener
+from vetchford.server.recent_request_ids import RecentRequestIds
 from vetchford.server.records_client import RecordsClient
 from vetchford.server.registry_reporter import RegistryReporter
 from vetchford.server.request_admission import RequestAdmission
@@ -114,6 +115,7 @@
             requests=requests,
             answers=answers,
             idempotency_cache=IdempotencyCache(),
+            recent_request_ids=RecentRequestIds(),
             commands=WorkerPoolCommands(worker_pool, requests, self.metrics),
             calls=CallsInFlight(records, self.timers, self.call_timed_out),
         )
--- a/vetchford/server/request_admission.py
+++ b/vetchford/server/request_admission.py
@@ -29,6 +29,7 @@
         self.requests = state.requests
         self.answers = state.answers
         self.idempotency_cache = state.idempotency_cache
+        self.recent_request_ids = state.recent_request_ids
 
     def reject_unready(self, client: Client, request: IncomingRequest) -> None:
         """Reject a request that arrived before the worker pool was bound."""
@@ -45,7 +46,7 @@
         if client.is_gone():
             self.metrics.increment("callers_gone_unread")
             return
-        if self.requests.find(request.request_id) is None:
+        if not self._is_id_in_use(request.request_id):
             self._admit(controller, client, request)
             return
         error = json_rpc.RequestIdInUseError(request.rpc_id)
@@ -121,6 +122,11 @@
         controller.request_arrived(now_ms, arrival)
         self.actions.arriving_index = None
 
+    def _is_id_in_use(self, request_id: str) -> bool:
+        if self.requests.find(request_id) is not None:
+            return True
+        return self.recent_request_ids.contains(request_id, self.clock.now_ms())
+
     def _find_original(self, entry: RequestEntry, request: IncomingRequest) -> int | None:
         """Set the idempotency key of an entry; return the index of the request that it repeats, if any."""
         entry.idempotency_key = qualified_key(request)
--- a/vetchford/server/request_table.py
+++ b/vetchford/server/request_table.py
@@ -38,6 +38,7 @@
     answer_due_ms: float  # by the server's clock
     idempotency_key: str | None = None  # from `qualified_key`; None: the request is not idempotent by key
     answered: bool = False
+    ran_with_effects: bool = False  # a run that must not run twice was started, and did not prove unstarted
     command: WorkerPoolCommand | None = None  # last command to the worker pool, while it may not have arrived
     run_abandoned: bool = False  # the run's start is unconfirmed, and its end is not waited for any more
     blocked_notice: int = 0  # number of the notice that the run waits for a dependency call
--- a/vetchford/server/run_events.py
+++ b/vetchford/server/run_events.py
@@ -84,6 +84,7 @@
         self.calls.cancel(entry)
         if outcome == SUPERSEDED:  # the request never ran, so a request with the same key is no repeat
             self.idempotency_cache.forget(index)
+            entry.ran_with_effects = False
         self.answers.run_ended(entry, outcome, content)
         result = RunResult(outcome == COMPLETED, content)
         followers = self.idempotency_cache.run_ended(index, result)
--- a/vetchford/server/server_actions.py
+++ b/vetchford/server/server_actions.py
@@ -15,7 +15,7 @@
 from vetchford.server.idempotency_cache import RunResult
 from vetchford.server.listener import Listener
 from vetchford.server.registry_reporter import RegistryReporter
-from vetchford.server.request_table import NO_ORIGINAL
+from vetchford.server.request_table import NO_ORIGINAL, RequestEntry
 from vetchford.server.server_state import ServerState
 
 log = structlog.get_logger()
@@ -62,6 +62,7 @@
         self.requests = state.requests
         self.answers = state.answers
         self.idempotency_cache = state.idempotency_cache
+        self.recent_request_ids = state.recent_request_ids
         self.commands = state.commands
         self.calls = state.calls
         self.listener = listener
@@ -73,7 +74,10 @@
 
     def start(self, index: int) -> None:
         """Start the run of a queued request."""
-        self.commands.start_run(self.requests[index], self._is_idempotent(index))
+        entry = self.requests[index]
+        is_idempotent = self._is_idempotent(index)
+        entry.ran_with_effects = not is_idempotent
+        self.commands.start_run(entry, is_idempotent)
 
     def stop(self, index: int) -> None:
         """Count the stop only: the worker pool has no such command. The end of the run changes no answer."""
@@ -136,8 +140,15 @@
             self.idempotency_cache.remove_follower(entry.original, index)
         for follower in self.idempotency_cache.release(index):
             self.deferred_results.append(SharedResult(follower, NOT_COMPLETED))
+        self._keep_id(entry)
         self.requests.release(index)
 
+    def _keep_id(self, entry: RequestEntry) -> None:
+        """Keep the id of a request that ran with effects, for as long as any client waits for an answer."""
+        if entry.ran_with_effects:
+            keep_for_ms = max(each.timeout_ms for each in self.controller.workload.classes)
+            self.recent_request_ids.add(entry.request_id, self.clock.now_ms(), keep_for_ms)
+
     def set_readiness(self, ready: bool) -> None:
         """Use `ready` as the answer to health checks, and report it to the registry."""
         self.listener.ready = ready
--- a/vetchford/server/server_state.py
+++ b/vetchford/server/server_state.py
@@ -6,6 +6,7 @@
 from vetchford.runtime.timers import Timers
 from vetchford.server.calls_in_flight import CallsInFlight
 from vetchford.server.idempotency_cache import IdempotencyCache
+from vetchford.server.recent_request_ids import RecentRequestIds
 from vetchford.server.request_answers import RequestAnswers
 from vetchford.server.request_table import RequestTable
 from vetchford.server.server_clock import ServerClock
@@ -22,5 +23,6 @@
     requests: RequestTable
     answers: RequestAnswers
     idempotency_cache: IdempotencyCache
+    recent_request_ids: RecentRequestIds
     commands: WorkerPoolCommands
     calls: CallsInFlight
