Client waits: the end of a connection says nothing about how long clients wait

Cause: `ClientWaitHistogram` took the time until a connection broke as the patience of all clients. It began with one wait, so one departure tied with it and won; the latency objective became the arrival itself, no request was admitted, and no later wait could correct it.

Change: a broken connection cancels its requests and teaches nothing.

--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -198,3 +198,16 @@
     controller.retry_after.factor = 3.0
     tripled_waits_ms = [controller.retry_after.draw_ms(10.0) for _ in range(50)]
     assert 2.0 < sum(tripled_waits_ms) / sum(usual_waits_ms) < 4.0
+
+
+def test_one_client_that_leaves_at_once_does_not_become_the_usual_wait():
+    # Guards against issue 60: one departure after 5 ms made every objective the arrival itself.
+    actions = Recorder()
+    controller = new_controller(actions, classes=[request_class()])
+    for index in range(100):
+        send(controller, 10.0 * index, index, client=1)
+        leave = (controller.client_disconnected, controller.client_gave_up)[index % 2]
+        leave(10.0 * index + 5.0, index)
+        controller.run_ended(10.0 * index + 9.0, index, "recalled", 9.0)
+    send(controller, 2000.0, 500, client=2)
+    assert actions.names(500) == ["start"]
--- a/vetchford/admission/controller.py
+++ b/vetchford/admission/controller.py
@@ -98,15 +98,20 @@
             request.deadline_ms = min(request.deadline_ms, self.health.latest_deadline_ms)
 
     def client_disconnected(self, now_ms: float, index: int) -> None:
-        """Cancel a request whose client no longer waits for an answer."""
+        """Cancel a request whose connection to the client broke; that says nothing about its patience."""
         request = self.workload.requests[index]
         if request.answered:
             return
-        if not request.is_retry:  # when a retry's client leaves may depend on the first attempt
-            self.retry_objective.client_left(now_ms, request.arrived_at_ms, request.request_class.timeout_ms)
         self.lifecycle.cancel(request)
         self.scheduler.dispatch(now_ms)
 
+    def client_gave_up(self, now_ms: float, index: int) -> None:
+        """Cancel a request whose client no longer waits for an answer, and learn how long clients wait."""
+        request = self.workload.requests[index]
+        if not request.answered:
+            self.retry_objective.client_gave_up(now_ms, request)
+        self.client_disconnected(now_ms, index)
+
     def run_ended(self, now_ms: float, index: int, outcome: str, took_ms: float) -> None:
         """Update the measured means from a completed run, and free its slot and memory."""
         request = self.workload.requests[index]
--- a/vetchford/admission/events.py
+++ b/vetchford/admission/events.py
@@ -16,7 +16,10 @@
         """Handle a request that was read from its client."""
 
     def client_disconnected(self, now_ms: float, index: int) -> None:
-        """Handle that the client of a request no longer waits for an answer."""
+        """Handle that the connection of a request's client broke, so that no answer can reach it."""
+
+    def client_gave_up(self, now_ms: float, index: int) -> None:
+        """Handle that the client of a request stopped waiting for its answer, as the platform reports it."""
 
     def run_blocked(self, now_ms: float, index: int) -> None:
         """Handle a run that waits for a dependency call; delivered only if the server has a dependency."""
--- a/vetchford/admission/retry_objective.py
+++ b/vetchford/admission/retry_objective.py
@@ -1,7 +1,7 @@
 """The latency objective of an arriving request, reduced by the age of its attempt."""
 
 from vetchford.admission.client_waits import ClientWaitHistogram
-from vetchford.admission.request import AttemptTimes, RequestArrival, RequestClass
+from vetchford.admission.request import AttemptTimes, Request, RequestArrival, RequestClass
 from vetchford.admission.retry_after import RetryAfter
 
 RETRY_AGE_FRACTION = 0.05
@@ -23,9 +23,16 @@
         self.retry_after = retry_after
         self.client_waits = ClientWaitHistogram()
 
-    def client_left(self, now_ms: float, arrived_at_ms: float, timeout_ms: float) -> None:
-        """Count the wait of a client that left before its first attempt was answered."""
-        self.client_waits.add((now_ms - arrived_at_ms) / timeout_ms)
+    def client_gave_up(self, now_ms: float, request: Request) -> None:
+        """Count the wait of a client that gave up a first attempt, unless no run could have ended by then.
+
+        Such a wait is not counted, as an objective that no run can meet would reject all requests. Neither is
+        that of a retry: when its client gives up may depend on the first attempt.
+        """
+        wait_ms = now_ms - request.arrived_at_ms
+        run_time_ms = request.request_class.mean_run_time_ms
+        if not request.is_retry and run_time_ms and wait_ms >= run_time_ms:
+            self.client_waits.add(request.client, wait_ms / request.request_class.timeout_ms)
 
     def times(
         self, now_ms: float, arrival: RequestArrival, request_class: RequestClass, latest_deadline_ms: float
@@ -51,7 +58,8 @@
             request_class.timeout_ms if client_deadline_ms else self._usual_client_wait_ms(request_class)
         )
         objective_at_ms = arrived_at_ms + min(request_class.latency_objective_ms, client_wait_ms)
-        age = self.client_waits.age((client_deadline_ms - arrived_at_ms) / request_class.timeout_ms)
+        wait = (client_deadline_ms - arrived_at_ms) / request_class.timeout_ms
+        age = self.client_waits.age(arrival.client, wait)
         objective_at_ms -= age * request_class.timeout_ms
         deadline_ms = min(client_deadline_ms, latest_deadline_ms)
         is_retry = arrival.is_retry or age > RETRY_AGE_FRACTION
--- a/vetchford/bench_adapter/simulated_server.py
+++ b/vetchford/bench_adapter/simulated_server.py
@@ -87,7 +87,7 @@
     def _client_gone(self, now_ms: float, event: Event) -> None:
         index = self._index_if_known(event)
         if index is not None:
-            self.controller.client_disconnected(now_ms, index)
+            self.controller.client_gave_up(now_ms, index)
 
     def _run_blocked(self, now_ms: float, event: Event) -> None:
         index = self._index_if_known(event)
