Node threshold: sizes that one client declares do not close it for all others

Callers saw: after 2 s of requests that declared 0.001 KB each, no request of ordinary size was admitted again.

Cause: the threshold is measured sizes times what is answered within an objective. Small sizes made it lower than one ordinary request, which was then rejected for node bytes; so no size was measured, and nothing changed.

Change: an arriving request always finds room for two of its own size (one that runs, one that waits), and one in its bulkhead.

--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -200,6 +200,22 @@
     assert 2.0 < sum(tripled_waits_ms) / sum(usual_waits_ms) < 4.0
 
 
+def run_at_once(controller, now, index, took_ms, **request):
+    """Send a request that runs and completes after `took_ms`."""
+    send(controller, now, index, **request)
+    controller.run_ended(now + took_ms, index, "completed", took_ms)
+
+
+def test_requests_that_declare_next_to_no_size_do_not_close_the_node_threshold_for_others():
+    # Guards against issue 60: the threshold had become lower than an ordinary request, for good.
+    actions = Recorder()
+    controller = new_controller(actions, classes=[request_class()])
+    for index in range(200):
+        run_at_once(controller, 30.0 * index, index, 20.0, client=1, size=1)
+    send(controller, 7000.0, 500, client=2, size=1000)
+    assert actions.names(500) == ["start"]
+
+
 def test_one_client_that_leaves_at_once_does_not_become_the_usual_wait():
     # Guards against issue 60: one departure after 5 ms made every objective the arrival itself.
     actions = Recorder()
--- a/vetchford/admission/in_flight_bytes.py
+++ b/vetchford/admission/in_flight_bytes.py
@@ -8,6 +8,8 @@
 """Fraction of the node threshold below which a client may use bytes beyond its share."""
 CLIENT_SHARE_FACTOR = 1.5
 """A client's share of the node threshold, in multiples of an equal share."""
+MIN_REQUESTS = 2.0
+"""Requests of its own size that an arriving request finds room for, whatever sizes were measured before."""
 
 
 class InFlightBytes:
@@ -47,13 +49,21 @@
         if not self.bytes_by_client[client]:
             del self.bytes_by_client[client]
 
-    def over_node_limit(self) -> bool:
-        """Return whether the unanswered bytes exceed the node threshold.
+    def node_limit_bytes(self, size_bytes: int) -> float:
+        """Return the node threshold for an arriving request.
+
+        The threshold follows the measured sizes, which clients declare. If small requests had made it lower
+        than an ordinary request, none would be admitted any more, and no size would be measured.
+        """
+        return max(self.clearable_bytes, MIN_REQUESTS * size_bytes)
+
+    def over_node_limit(self, size_bytes: int) -> bool:
+        """Return whether the unanswered bytes exceed the node threshold for a request of `size_bytes`.
 
         The limit is named `native_transport_max_concurrent_requests_in_bytes` in Apache Cassandra
         (docs/design.md), where it is a setting; here it is computed from the measured answer rate.
         """
-        return self.unanswered_bytes > self.clearable_bytes
+        return self.unanswered_bytes > self.node_limit_bytes(size_bytes)
 
     def over_client_limit(self, client: int, size_bytes: int) -> bool:
         """Return whether the client exceeds its share of the node threshold.
--- a/vetchford/admission/shared_capacity.py
+++ b/vetchford/admission/shared_capacity.py
@@ -43,7 +43,7 @@
 
     def has_room(self, request: Request) -> bool:
         """Return whether the unanswered bytes are within the node threshold."""
-        return not self.workload.in_flight.over_node_limit()
+        return not self.workload.in_flight.over_node_limit(request.size_bytes)
 
     def eviction_candidates(self, request: Request, queued: list[Request]) -> list[Request]:
         """Return all candidates in `queued`, and the arriving request."""
--- a/vetchford/bulkheads/bulkhead_capacity.py
+++ b/vetchford/bulkheads/bulkhead_capacity.py
@@ -86,17 +86,19 @@
     def has_room(self, request: Request) -> bool:
         """Compare the unanswered bytes with the bulkhead's share, and with what other bulkheads lend."""
         in_flight = self.workload.in_flight
+        limit_bytes = in_flight.node_limit_bytes(request.size_bytes)
         return self.bulkheads.bytes.has_room(
-            request.bulkhead, in_flight.unanswered_bytes, in_flight.clearable_bytes
+            request.bulkhead, in_flight.unanswered_bytes, limit_bytes, request.size_bytes
         )
 
     def eviction_candidates(self, request: Request, queued: list[Request]) -> list[Request]:
         """Return requests of bulkheads over their share; the arriving one only if its own is over."""
         byte_sharing = self.bulkheads.bytes
-        clearable_bytes = self.workload.in_flight.clearable_bytes
-        is_within_share = byte_sharing.is_within_share(request.bulkhead, clearable_bytes)
+        limit_bytes = self.workload.in_flight.node_limit_bytes(request.size_bytes)
+        size_bytes = request.size_bytes
+        is_within_share = byte_sharing.is_within_share(request.bulkhead, limit_bytes, size_bytes)
         candidates = queued if is_within_share else [*queued, request]
-        return byte_sharing.eviction_candidates(request.bulkhead, candidates, clearable_bytes)
+        return byte_sharing.eviction_candidates(request.bulkhead, candidates, limit_bytes, size_bytes)
 
     def memory_fits(self, request: Request, more_bytes: float) -> bool:
         """Compare the memory with the bulkhead's share, and with what other bulkheads lend."""
--- a/vetchford/bulkheads/byte_sharing.py
+++ b/vetchford/bulkheads/byte_sharing.py
@@ -47,19 +47,26 @@
 
     # -- rules
 
-    def is_within_share(self, bulkhead: int, clearable_bytes: float) -> bool:
-        """Return whether the bulkhead's unanswered bytes are within its share of `clearable_bytes`."""
-        return self.unanswered_bytes[bulkhead] <= self.shares[bulkhead] * clearable_bytes
+    def is_within_share(self, bulkhead: int, clearable_bytes: float, size_bytes: int = 0) -> bool:
+        """Return whether the bulkhead's unanswered bytes are within its share of `clearable_bytes`.
 
-    def has_room(self, bulkhead: int, unanswered_bytes: float, clearable_bytes: float) -> bool:
+        One request, of `size_bytes`, always is.
+        """
+        share_bytes = self.shares[bulkhead] * clearable_bytes
+        return self.unanswered_bytes[bulkhead] <= max(share_bytes, size_bytes)
+
+    def has_room(
+        self, bulkhead: int, unanswered_bytes: float, clearable_bytes: float, size_bytes: int = 0
+    ) -> bool:
         """Return whether the newest request of a bulkhead may stay; if not, a candidate must be evicted.
 
         Args:
             bulkhead: Bulkhead of the request, whose bytes already include the request.
             unanswered_bytes: Unanswered bytes of all bulkheads.
             clearable_bytes: Unanswered bytes that the server can answer in time.
+            size_bytes: Bytes of the request.
         """
-        if self.is_within_share(bulkhead, clearable_bytes):
+        if self.is_within_share(bulkhead, clearable_bytes, size_bytes):
             return unanswered_bytes <= clearable_bytes
         kept_bytes = self._kept_by_others(bulkhead, clearable_bytes, self.unanswered_bytes)
         if self.settings[bulkhead].borrows and unanswered_bytes <= clearable_bytes - kept_bytes:
@@ -68,14 +75,14 @@
         return False
 
     def eviction_candidates(
-        self, bulkhead: int, queued: Iterable[Request], clearable_bytes: float
+        self, bulkhead: int, queued: Iterable[Request], clearable_bytes: float, size_bytes: int = 0
     ) -> list[Request]:
         """Return the queued requests of which one is evicted: those of bulkheads over their share.
 
         If the arriving request's own bulkhead is over its share, only its requests are returned. The result
         is empty if no bulkhead is over its share; the request is then admitted.
         """
-        if not self.is_within_share(bulkhead, clearable_bytes):
+        if not self.is_within_share(bulkhead, clearable_bytes, size_bytes):
             self.observer.limit_reached(bulkhead, Resource.BYTES)
             return [request for request in queued if request.bulkhead == bulkhead]
         bulkheads = range(len(self.settings))
