Base times: no expected work that a client gives makes the runs of all others look endless

Callers saw: after requests that gave 0.001 ms as their work, all others of the class were refused for their latency objective.

Cause: the base time of a class is the mean of run time over given work, so one run of 20 ms over 0.001 ms raised it 20,000 times.

Change: work of under 1 ms counts as 1 ms, and after the first run one run counts as at most eight times the mean.

--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -2,6 +2,7 @@
 
 from vetchford.admission.request import RequestState
 from vetchford.admission.settings import Effect
+from vetchford.admission.workload import MAX_SLOWDOWN
 
 
 def test_a_call_that_fails_after_its_request_was_failed_gives_no_second_answer():
@@ -216,6 +217,20 @@
     assert actions.names(500) == ["start"]
 
 
+def test_requests_that_declare_next_to_no_work_do_not_make_the_runs_of_others_look_endless():
+    # Guards against issue 60: one run of 20 ms over 0.001 ms of work raised the mean 20,000 times.
+    actions = Recorder()
+    controller = new_controller(actions, classes=[request_class()])
+    for index in range(100):
+        run_at_once(controller, 30.0 * index, index, 20.0, client=1, work=20.0)
+    for index in range(100, 200):
+        run_at_once(controller, 30.0 * index, index, 20.0, client=2, work=0.001)
+    send(controller, 6100.0, 500, client=1, work=20.0)
+    assert actions.names(500) == ["start"]
+    expected_ms = controller.workload.expected_run_time_ms(controller.workload.requests[500])
+    assert expected_ms < 2.0 * MAX_SLOWDOWN * 20.0  # the slowdown decays while the server is idle
+
+
 def test_one_client_that_leaves_at_once_does_not_become_the_usual_wait():
     # Guards against issue 60: one departure after 5 ms made every objective the arrival itself.
     actions = Recorder()
--- a/vetchford/admission/concurrency_limits.py
+++ b/vetchford/admission/concurrency_limits.py
@@ -10,6 +10,8 @@
 EQUAL_WEIGHT_CALLS = 16
 """Number of first calls that weigh equally in the mean that is the base time of calls."""
 BASE_TIME_WINDOW_MS = 60_000.0
+MAX_SAMPLE_RATIO = 8.0
+"""A run counts as at most this times the mean, so that no expected work that a client gives decides it."""
 GRADIENT_PERIOD_MS = 500.0
 MIN_SAMPLES = 4
 """Samples that a limit needs to move; with fewer, the period goes on."""
@@ -33,15 +35,21 @@
     The window is long so that a period of contention hardly changes the base time (docs/design.md).
     """
 
-    def __init__(self, equal_weight_samples: int) -> None:
-        """Weigh the first `equal_weight_samples` samples equally."""
+    def __init__(self, equal_weight_samples: int, max_sample_ratio: float = math.inf) -> None:
+        """Weigh the first `equal_weight_samples` samples equally.
+
+        Samples above `max_sample_ratio` times the mean count as that; the first one is not limited.
+        """
         self.equal_weight_samples = equal_weight_samples
+        self.max_sample_ratio = max_sample_ratio
         self.value = 0.0
         self.samples = 0
         self.updated_at_ms = 0.0
 
     def add(self, now_ms: float, sample: float) -> None:
         """Add a sample to the mean."""
+        if self.samples:
+            sample = min(sample, self.max_sample_ratio * self.value)
         self.samples += 1
         if self.samples <= self.equal_weight_samples:
             weight = 1.0 / self.samples
--- a/vetchford/admission/request.py
+++ b/vetchford/admission/request.py
@@ -8,11 +8,18 @@
 from enum import IntEnum, StrEnum
 from typing import NamedTuple
 
-from vetchford.admission.concurrency_limits import EQUAL_WEIGHT_RUNS, TimeWeightedAverage
+from vetchford.admission.concurrency_limits import (
+    EQUAL_WEIGHT_RUNS,
+    MAX_SAMPLE_RATIO,
+    TimeWeightedAverage,
+)
 from vetchford.admission.settings import Effect, LoadSignal
 
 UNKNOWN_WORK_MS = 1.0
-"""Expected work of a request whose client gives none, so that the class's mean run time is expected."""
+"""Expected work of a request whose client gives none, so that the class's mean run time is expected.
+
+Less work counts as this, as a run time over next to no work would dominate the mean.
+"""
 UNKNOWN_ORIGINAL = -1
 """Replaces the index of a repeat's original when this server no longer has the original."""
 MIN_OFFERED_WEIGHT = 1e-9
@@ -81,7 +88,7 @@
     skip_fraction: float
     """Fraction of the priority weight that remains if the dependency call is skipped; 0: never skipped."""
     service_time_per_unit: TimeWeightedAverage = field(
-        default_factory=lambda: TimeWeightedAverage(EQUAL_WEIGHT_RUNS)
+        default_factory=lambda: TimeWeightedAverage(EQUAL_WEIGHT_RUNS, MAX_SAMPLE_RATIO)
     )
     """Mean run time over expected work, of runs that did not compete for the cores."""
     dependency_wait_ms: float = 0.0
@@ -168,7 +175,7 @@
             times.arrived_at_ms,
             times.objective_at_ms,
             times.deadline_ms,
-            arrival.work_ms or UNKNOWN_WORK_MS,
+            max(UNKNOWN_WORK_MS, arrival.work_ms or 0.0),
             arrival.size_bytes,
             times.is_retry,
             bulkhead=request_class.bulkhead,
