Idempotency keys: a request that the worker pool never ran keeps no memory for its key

Change: the pool's proof that a request never ran drops its key, as a rejection does.

Failed before: test_requests_that_the_worker_pool_never_ran_keep_no_memory_for_their_keys on.

--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -242,3 +242,17 @@
         controller.run_ended(10.0 * index + 9.0, index, "recalled", 9.0)
     send(controller, 2000.0, 500, client=2)
     assert actions.names(500) == ["start"]
+
+
+def test_requests_that_the_worker_pool_never_ran_keep_no_memory_for_their_keys():
+    # Guards against issue 60: unknown ids with ever new keys filled the memory for the window of a key.
+    actions = Recorder()
+    controller = new_controller(
+        actions, classes=[request_class(effect=Effect.IDEMPOTENT_BY_KEY)], memory=2000.0
+    )
+    for index in range(100):
+        send(controller, float(index), index, client=1)
+        controller.run_ended(index + 0.5, index, "superseded", 0.0)
+    assert controller.workload.in_flight.used_bytes == 0.0 and not controller.workload.requests
+    send(controller, 200.0, 500, client=2)
+    assert "start" in actions.names(500)
--- a/vetchford/admission/controller.py
+++ b/vetchford/admission/controller.py
@@ -118,6 +118,8 @@
         self.unconfirmed_commands.run_reported(index)
         if request.state != RequestState.SHARING:
             self._release_run(now_ms, request, outcome, took_ms)
+        if outcome == Outcome.SUPERSEDED:
+            request.started = False  # proven: so its idempotency key is dropped
         if not request.answered:
             self.lifecycle.mark_answered(request)
         self.lifecycle.finish(request)
