Read delay: an arrival time that a client makes up does not make the server unready

A few requests whose `door` lay 100 s back made the server answer health checks with "serving": false and leave the list, for as long as one client went on.

Cause: the read delay, from which overload is told, was taken from the arrival time that each request gives, up to 120 s.

Change: the server knows when it last saw a connection, or the backlog, without unread bytes; a request can't have waited unread for longer.

--- a/tests/server/test_admission_actor.py
+++ b/tests/server/test_admission_actor.py
@@ -122,6 +122,7 @@
                 tenant=0,
                 client_number=rpc_id % 3,
                 arrived_at_unix_ms=arrived_at_ms,
+                unread_since_unix_ms=0.0,
                 client_timeout_ms=TIMEOUT_MS,
                 work_ms=50.0,
                 memory_kb=20.0,
--- a/tests/server/test_hostile_clients.py
+++ b/tests/server/test_hostile_clients.py
@@ -137,6 +137,24 @@
         assert "must_hold_broken" not in server.stop()
 
 
+@pytest.mark.parametrize("connections", ["one", "each its own"])
+def test_false_arrival_times_do_not_make_the_server_unready(tmp_path, connections):
+    # Guards against a client whose `door` of long ago looked as if all requests were read too late.
+    with start_server(tmp_path) as server:
+        hostile = HostileClient(server.port)
+        sock = hostile.connect()
+        for number in range(1, 31):
+            message = request(number, door=(time.time() - 100.0) * 1000.0)
+            if connections == "one":
+                sock.sendall(message)
+            else:
+                hostile.send_and_half_close(message)
+            time.sleep(0.01)
+        sock.close()
+        assert "good=false" not in "".join(server.log)
+        assert share_served(SteadyClient(server.port, limit=None).send_for(1.0)) == 1.0
+
+
 CHEAP_FLOODS = {
     "health checks": lambda number: framed(b'{"jsonrpc":"2.0","id":%d,"method":"check"}' % number),
     "new method names": lambda number: framed(b'{"jsonrpc":"2.0","method":"name %d"}' % number),
--- a/tests/server/test_shutdown_races.py
+++ b/tests/server/test_shutdown_races.py
@@ -97,7 +97,7 @@
     arrived_at_ms = signalled_at_ms + 150.0  # after the grace time, so the request must not run
     under_test.actor.request_arrived(
         under_test.recorder,
-        IncomingRequest(1, "ab", 0, "read", -1, 0, arrived_at_ms, 500.0, 20.0, 1.0, None, ""),
+        IncomingRequest(1, "ab", 0, "read", -1, 0, arrived_at_ms, 0.0, 500.0, 20.0, 1.0, None, ""),
     )
     assert under_test.actor.metrics.by_name["rejected_draining"] == 1
     assert not [
--- a/vetchford/admission/controller.py
+++ b/vetchford/admission/controller.py
@@ -199,7 +199,7 @@
         if not request.is_retry:
             request_class.offered_weight += self.workload.value(request)
             self.workload.tenants.count(now_ms, request.tenant)
-        self.health.request_read(arrival.queued_for_ms, request_class.latency_objective_ms)
+        self.health.request_read(arrival.unread_for_ms(), request_class.latency_objective_ms)
         return request
 
     def _leave_cores(self, now_ms: float, index: int) -> Request:
--- a/vetchford/admission/request.py
+++ b/vetchford/admission/request.py
@@ -71,6 +71,12 @@
     """Time between the request's arrival at the machine and its reading."""
     original: int | None
     """Index of the request that this one repeats, or `UNKNOWN_ORIGINAL`; None if it is no repeat."""
+    max_unread_ms: float = math.inf
+    """Longest time for which the request can have waited unread, as the server itself knows."""
+
+    def unread_for_ms(self) -> float:
+        """Return how long the request waited unread, which its client can't overstate."""
+        return min(self.queued_for_ms, self.max_unread_ms)
 
 
 @dataclass(slots=True)
--- a/vetchford/server/client_connection.py
+++ b/vetchford/server/client_connection.py
@@ -3,6 +3,7 @@
 The actor owns the socket; `connection_state` decides what the connection waits for and when it is closed.
 """
 
+import math
 import os
 import socket
 import threading
@@ -15,6 +16,7 @@
 from vetchford.runtime.metrics import Metrics
 from vetchford.runtime.sockets import send_nonblocking, send_parts, shut_down
 from vetchford.runtime.thread_pool import ThreadPool
+from vetchford.runtime.timers import unix_time_ms
 from vetchford.server import connection_limits
 from vetchford.server.client_messages import MessageHandler, RequestTarget
 from vetchford.server.connection_limits import Crowding
@@ -52,8 +54,17 @@
     bytes, so that an idle connection occupies no thread. The sections below say which thread calls a method.
     """
 
-    def __init__(self, sock: socket.socket, owner: ClientConnectionOwner, metrics: Metrics) -> None:
-        """Take ownership of `sock`, which the connection closes at its end."""
+    def __init__(
+        self,
+        sock: socket.socket,
+        owner: ClientConnectionOwner,
+        metrics: Metrics,
+        unread_since_unix_ms: float = -math.inf,
+    ) -> None:
+        """Take ownership of `sock`, which the connection closes at its end.
+
+        The client has sent nothing before `unread_since_unix_ms`.
+        """
         super().__init__("connection", metrics, owner.thread_pool)
         self.sock = sock
         self.owner = owner
@@ -63,6 +74,7 @@
 
         # Reading.
         self.receive_buffer: ReceiveBuffer | None = None  # None while no message is partly received
+        self.unread_since_unix_ms = unread_since_unix_ms  # when the socket was last seen without unread bytes
         self.bad_message_count = 0
         self.is_last_read = False  # the reader does not wait for more bytes
         self.reading_stopped = False  # the worker pool does not know the client's requests
@@ -133,6 +145,7 @@
             try:
                 count = self.sock.recv_into(buffer.free_space(), 0, flags)
             except BlockingIOError:
+                self.unread_since_unix_ms = unix_time_ms()
                 break
             if not count:
                 return False
--- a/vetchford/server/client_messages.py
+++ b/vetchford/server/client_messages.py
@@ -30,6 +30,7 @@
 
     open_requests: set[int | str]  # ids; each is added before its request is passed to the admission actor
     bad_message_count: int
+    unread_since_unix_ms: float  # nothing that is read now was received before this time
 
     def reply(self, parts: list[bytes]) -> None:
         """Send a reply that belongs to no open request."""
@@ -120,6 +121,7 @@
             tenant=tenant,
             client_number=request.client_number,
             arrived_at_unix_ms=request.arrived_at_unix_ms,
+            unread_since_unix_ms=client.unread_since_unix_ms,
             client_timeout_ms=request.client_timeout_ms,
             work_ms=request.work_ms,
             memory_kb=request.memory_kb,
--- a/vetchford/server/listener.py
+++ b/vetchford/server/listener.py
@@ -8,6 +8,7 @@
 from vetchford.runtime.metrics import Metrics
 from vetchford.runtime.sockets import set_socket_timeout, shut_down
 from vetchford.runtime.thread_pool import ThreadPool
+from vetchford.runtime.timers import unix_time_ms
 from vetchford.server import connection_limits
 from vetchford.server.client_connection import ClientConnection
 from vetchford.server.client_messages import ClientEvents, MessageHandler
@@ -50,6 +51,7 @@
         self.ready = False  # the result of health checks; set by the admission actor
         self.closing = False  # `close` was called; the accepting thread stops
         self.closed = False  # the listening socket is closed
+        self.backlog_empty_unix_ms = unix_time_ms()  # when no connection was last seen to wait in the backlog
         self.accept_lock = threading.Lock()  # held from accepting a connection until it is in the table
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -73,7 +75,9 @@
         while not self.closing:
             if not self._reserve_slot():
                 return
-            poller.poll()
+            if not poller.poll(0):
+                self.backlog_empty_unix_ms = unix_time_ms()
+                poller.poll()
             try:
                 accepted = self._accept_one()
             except OSError as error:
@@ -114,7 +118,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             set_socket_timeout(sock, socket.SO_RCVTIMEO, connection_limits.READ_WAIT_TIMEOUT_S)
             set_socket_timeout(sock, socket.SO_SNDTIMEO, connection_limits.WRITE_TIMEOUT_S)
-            connection = ClientConnection(sock, self, self.metrics)
+            connection = ClientConnection(sock, self, self.metrics, self.backlog_empty_unix_ms)
             self.connections.add(connection)
             self.idle_poller.add(connection)
         except OSError as error:  # ends this connection only, not the accepting thread
--- a/vetchford/server/request_admission.py
+++ b/vetchford/server/request_admission.py
@@ -118,6 +118,7 @@
             is_retry=False,  # the protocol does not mark retries
             queued_for_ms=max(0.0, now_ms - arrived_at_ms),
             original=original,
+            max_unread_ms=now_ms - (request.unread_since_unix_ms - self.clock.origin_unix_ms),
         )
         controller.request_arrived(now_ms, arrival)
         self.actions.arriving_index = None
