--- a/testkit/fakes/hostile_client.py
+++ b/testkit/fakes/hostile_client.py
@@ -17,6 +17,7 @@
 RECEIVE_BYTES = 65_536
 TIMEOUT_S = 1.0
 MESSAGES_PER_WRITE = 100
+PAUSE_S = 0.05
 
 MakeMessage = Callable[[int], bytes]
 
@@ -82,6 +83,26 @@
             while time.monotonic() < until_s:
                 sock.sendall(b"".join(make_message(next(numbers)) for _ in range(MESSAGES_PER_WRITE)))
 
+    def write_slowly(
+        self, count: int, first_bytes: bytes | Callable[[], bytes], more_bytes: bytes, seconds: float
+    ) -> None:
+        """Open `count` connections, send each its first bytes, and more of them now and then."""
+        until_s = time.monotonic() + seconds
+        with contextlib.ExitStack() as stack:
+            sockets = []
+            for _ in range(count):
+                with contextlib.suppress(OSError):
+                    sockets.append(stack.enter_context(self.connect()))
+                    sockets[-1].setblocking(False)
+                    sockets[-1].send(first_bytes if isinstance(first_bytes, bytes) else first_bytes())
+                if time.monotonic() > until_s:
+                    return
+            while time.monotonic() < until_s:
+                for sock in sockets:
+                    with contextlib.suppress(OSError):
+                        sock.send(more_bytes)
+                time.sleep(PAUSE_S)
+
 
 def _read_to_end(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
