Client bytes: a client is its connection, not the number that it gives itself

One connection with ever new numbers was as many clients, each of which cut the share of all others; with another's number it used up that one's share.

Change: a connection has a number of its own, which counts.

--- a/vetchford/protocol/json_rpc.py
+++ b/vetchford/protocol/json_rpc.py
@@ -96,7 +96,6 @@
     request_id: str  # txn: id of the request, repeated in messages to other services
     arrived_at_unix_ms: float  # door: when the request reached this machine
     client_timeout_ms: float | None  # limit: how long the client waits, counted from the arrival
-    client_number: int  # lb: number of the client; 0 if it sends none
     tenant: str | None  # team
     work_ms: float | None  # cpu: time on one core
     memory_kb: float  # ram
@@ -195,13 +194,13 @@
     earliest = now_unix_ms - MAX_ARRIVAL_AGE_MS
     latest = now_unix_ms + MAX_ARRIVAL_LEAD_MS
     arrived_at_unix_ms = _required(_number(params, "door", earliest, latest, rpc_id), "door", rpc_id)
-    _number(params, "standing", 0.0, 1.0, rpc_id)  # checked, but not used
+    _number(params, "standing", 0.0, 1.0, rpc_id)  # this and the next are checked, but not used
+    _number(params, "lb", 0.0, MAX_NUMBER, rpc_id)
     content = _content(params, rpc_id)
     return RequestParams(
         request_id=request_id,
         arrived_at_unix_ms=arrived_at_unix_ms,
         client_timeout_ms=_number(params, "limit", 0.0, MAX_NUMBER, rpc_id),
-        client_number=int(_number(params, "lb", 0.0, MAX_NUMBER, rpc_id) or 0),
         tenant=_printable_string(params, "team", MAX_TENANT_LENGTH, rpc_id),
         work_ms=_number(params, "cpu", 0.0, MAX_NUMBER, rpc_id),
         memory_kb=_required(_number(params, "ram", MIN_MEMORY_KB, MAX_MEMORY_KB, rpc_id), "ram", rpc_id),
--- a/vetchford/protocol/messages.py
+++ b/vetchford/protocol/messages.py
@@ -12,7 +12,7 @@
     request_class: int
     method: str  # name of the request class on the wire
     tenant: int  # -1: no tenant is named
-    client_number: int  # number that the client gives itself
+    client_number: int  # of its connection, which no client can choose
     arrived_at_unix_ms: float  # when the request reached this machine, as the client says
     unread_since_unix_ms: float  # it was certainly not received before this time
     client_timeout_ms: float | None  # how long the client waits, counted from the arrival
--- a/vetchford/server/client_connection.py
+++ b/vetchford/server/client_connection.py
@@ -3,6 +3,7 @@
 The actor owns the socket; `connection_state` decides what the connection waits for and when it is closed.
 """
 
+import itertools
 import math
 import os
 import socket
@@ -23,6 +24,8 @@
 from vetchford.server.connection_state import CLOSE, DISCARDING, REQUEST_CLOSE, CloseStep, ConnectionState
 from vetchford.server.idle_poller import IdleConnectionPoller
 
+_numbers = itertools.count(1)
+
 
 class ConnectionSet(Protocol):
     """The part of the connection table that a connection uses."""
@@ -66,6 +69,7 @@
         The client has sent nothing before `unread_since_unix_ms`.
         """
         super().__init__("connection", metrics, owner.thread_pool)
+        self.number = next(_numbers)
         self.sock = sock
         self.owner = owner
         self.admission = owner.admission
--- a/vetchford/server/client_messages.py
+++ b/vetchford/server/client_messages.py
@@ -28,6 +28,7 @@
 class Client(Protocol):
     """The connection that a message was received on."""
 
+    number: int  # differs from those of all other connections
     open_requests: set[int | str]  # ids; each is added before its request is passed to the admission actor
     bad_message_count: int
     unread_since_unix_ms: float  # nothing that is read now was received before this time
@@ -119,7 +120,7 @@
             request_class=request_class,
             method=method,
             tenant=tenant,
-            client_number=request.client_number,
+            client_number=client.number,
             arrived_at_unix_ms=request.arrived_at_unix_ms,
             unread_since_unix_ms=client.unread_since_unix_ms,
             client_timeout_ms=request.client_timeout_ms,
