Idle refusals: estimates that refuse all while cores are free are forgotten, and logged

Where the estimates admit none, of all or of one class, nothing is measured and nothing changes; operators saw only a counter of rejections.

Change: `IdleRefusals` measures for how long all requests, or all of a class, were refused by an estimate while a slot and cores were free and nothing was queued. After 2 s what was learned is forgotten, as at a start, and the log says `idle_refusals`. Not in a drain, a stall, or while the fleet has stopped calls. Facts (memory, deadlines) are not concerned.

--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -256,3 +256,35 @@
     assert controller.workload.in_flight.used_bytes == 0.0 and not controller.workload.requests
     send(controller, 200.0, 500, client=2)
     assert "start" in actions.names(500)
+
+
+def test_an_idle_server_that_refuses_a_class_forgets_what_it_learned_and_reports_it():
+    # Guards against a state in which nothing is admitted, so nothing is measured, so nothing changes.
+    actions = Recorder()
+    controller = new_controller(actions, classes=[request_class()])
+    send(controller, 0.0, 0)
+    controller.run_ended(9000.0, 0, "completed", 9000.0)
+    for index, now_ms in enumerate((9100.0, 10_000.0, 11_000.0), 1):
+        controller.on_tick(now_ms, 0.1, 0.0)
+        send(controller, now_ms, index)
+        assert actions.names(index) == ["reject"]
+    send(controller, 11_101.0, 4)
+    assert actions.names(4) == ["start"]
+    assert ("report_idle_refusals", 3, 2001.0) in actions.acts
+
+
+def test_a_busy_a_draining_and_a_stopped_server_keep_what_they_learned():
+    for utilization, drains, queue in ((1.0, False, False), (0.1, True, False), (0.1, False, True)):
+        actions = Recorder()
+        controller = new_controller(actions, classes=[request_class()])
+        send(controller, 0.0, 0)
+        controller.run_ended(9000.0, 0, "completed", 9000.0)
+        if drains:
+            controller.start_draining(9000.0, 40_000.0)
+        if queue:
+            controller.workload.running = 3
+        for index, now_ms in enumerate((9100.0, 10_000.0, 11_000.0, 11_200.0), 1):
+            controller.health.last_progress_at_ms = now_ms
+            controller.on_tick(now_ms, utilization, 0.0)
+            send(controller, now_ms, index)
+        assert "report_idle_refusals" not in [act[0] for act in actions.acts]
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -111,6 +111,7 @@
     },
     "admission.events": {"admission.request"},
     "admission.health": {"admission.actions", "admission.workload"},
+    "admission.idle_refusals": {"admission.health", "admission.rejection", "admission.workload"},
     "admission.idle_timeout": {"admission.actions", "admission.traffic"},
     "admission.in_flight_bytes": set(),
     "admission.lifecycle": {
--- a/vetchford/admission/actions.py
+++ b/vetchford/admission/actions.py
@@ -51,6 +51,12 @@
     def release(self, index: int) -> None:
         """Release the index: the controller does not use it again, so it may be reused."""
 
+    def report_idle_refusals(self, refused: int, duration_ms: float) -> None:
+        """Report that all requests of a class, `refused` in number, were refused for `duration_ms`.
+
+        Cores were free meanwhile, so what the controller had learned was wrong; it has forgotten it.
+        """
+
     def set_readiness(self, ready: bool) -> None:
         """Set the readiness that health checks report from now on."""
 
--- a/vetchford/admission/admission_checks.py
+++ b/vetchford/admission/admission_checks.py
@@ -37,15 +37,18 @@
             return RejectionReason.DEADLINE
         return None
 
-    def admit(self, now_ms: float, request: Request) -> bool:
-        """Return whether the request may be queued; a queued request may have been evicted to make room."""
+    def admit(self, now_ms: float, request: Request) -> RejectionReason | None:
+        """Return None if the request may be queued, or else why it was rejected.
+
+        A queued request may have been evicted to make room.
+        """
         queue_delay_ms = self.capacity.queue_delay_ms(now_ms, request)
         if not self.memory_fits(request):
             self.lifecycle.reject(request, RejectionReason.MEMORY)
-            return False
+            return RejectionReason.MEMORY
         if not self.estimate.is_in_time(now_ms, request, queue_delay_ms):
             self.lifecycle.reject(request, RejectionReason.LATENCY_OBJECTIVE)
-            return False
+            return RejectionReason.LATENCY_OBJECTIVE
         return self._within_byte_limits(request)
 
     def memory_fits(self, request: Request) -> bool:
@@ -59,23 +62,24 @@
             request, key_bytes + request.size_bytes * in_flight.running_extra_factor
         )
 
-    def _within_byte_limits(self, request: Request) -> bool:
+    def _within_byte_limits(self, request: Request) -> RejectionReason | None:
         """Check both counters of unanswered bytes; if one is over its limit, evict the lowest priority.
 
-        Return whether the arriving request stays. A request over a limit is rejected at once rather than
-        left waiting (docs/design.md; named THROW_ON_OVERLOAD in Apache Cassandra).
+        Return None if the arriving request stays, or else why it was rejected. A request over a limit is
+        rejected at once rather than left waiting (docs/design.md; named THROW_ON_OVERLOAD in Apache
+        Cassandra).
         """
         over_client = self.workload.in_flight.over_client_limit(request.client, request.size_bytes)
         if self.capacity.has_room(request) and not over_client:
-            return True
+            return None
         queued = self._queued_of(request.client) if over_client else list(self.workload.queued.values())
         candidates = self.capacity.eviction_candidates(request, queued)
         if not candidates:
-            return True
+            return None
         evicted = self.lowest_priority(candidates)
         reason = RejectionReason.CLIENT_BYTES if over_client else RejectionReason.NODE_BYTES
         self.lifecycle.reject(evicted, reason)
-        return evicted is not request
+        return reason if evicted is request else None
 
     def lowest_priority(self, candidates: list[Request]) -> Request:
         """Return the request to evict: of lowest priority, then of the client with most bytes, the newest."""
--- a/vetchford/admission/request.py
+++ b/vetchford/admission/request.py
@@ -111,6 +111,16 @@
     """Recent mean run time, by which derived bulkheads classify."""
     bulkhead: int = 0
 
+    def forget_run_times(self) -> None:
+        """Forget the measured run times."""
+        self.service_time_per_unit = TimeWeightedAverage(EQUAL_WEIGHT_RUNS, MAX_SAMPLE_RATIO)
+        self.mean_run_time_ms = 0.0
+
+    def forget_measurements(self) -> None:
+        """Forget the measured run times and waits for calls."""
+        self.forget_run_times()
+        self.dependency_wait_ms = 0.0
+
 
 class AttemptTimes(NamedTuple):
     """The times of an attempt, in milliseconds of the controller's clock."""
--- a/vetchford/admission/retry_objective.py
+++ b/vetchford/admission/retry_objective.py
@@ -23,6 +23,10 @@
         self.retry_after = retry_after
         self.client_waits = ClientWaitHistogram()
 
+    def forget_measurements(self) -> None:
+        """Forget how long clients wait."""
+        self.client_waits = ClientWaitHistogram()
+
     def client_gave_up(self, now_ms: float, request: Request) -> None:
         """Count the wait of a client that gave up a first attempt, unless no run could have ended by then.
 
--- a/vetchford/admission/workload.py
+++ b/vetchford/admission/workload.py
@@ -1,5 +1,7 @@
 """The requests of one server, their measured costs and their priority in the queue."""
 
+import math
+
 from vetchford.admission.concurrency_limits import DependencyConcurrencyLimit, GradientConcurrencyLimit
 from vetchford.admission.in_flight_bytes import InFlightBytes
 from vetchford.admission.request import AdmissionSettings, Request, RequestClass
@@ -124,6 +126,16 @@
         self._update_floor()
         self._update_node_threshold()
 
+    def forget_measurements(self) -> None:
+        """Forget the measured means, as on a server that has just started."""
+        for request_class in self.classes:
+            request_class.forget_measurements()
+        self.slowdown = 1.0
+        self.mean_run_time_ms = 0.0
+        self.mean_size_bytes = 0.0
+        self.mean_work_ms = 0.0
+        self.in_flight.clearable_bytes = math.inf
+
     def update_cores_reading(self, on_cores: float | None) -> None:
         """Update the cores that read from the gauge of tasks on or waiting for cores, less the runs."""
         tasks_besides_runs = max(0.0, (on_cores or 0.0) - self.running)
--- a/vetchford/bench_adapter/simulator_actions.py
+++ b/vetchford/bench_adapter/simulator_actions.py
@@ -95,6 +95,9 @@
         """Release the index; the simulator is not told."""
         self.indices.release(index)
 
+    def report_idle_refusals(self, refused: int, duration_ms: float) -> None:
+        """Do nothing, as the simulator has no log."""
+
     def set_readiness(self, ready: bool) -> None:
         """Set the answer to health checks."""
         self._append("fitness", on=ready, cheap=True)
--- a/vetchford/server/server_actions.py
+++ b/vetchford/server/server_actions.py
@@ -149,6 +149,10 @@
             keep_for_ms = max(each.timeout_ms for each in self.controller.workload.classes)
             self.recent_request_ids.add(entry.request_id, self.clock.now_ms(), keep_for_ms)
 
+    def report_idle_refusals(self, refused: int, duration_ms: float) -> None:
+        """Count and log that estimates refused all requests of a class though cores were free."""
+        self.metrics.log_sampled("idle_refusals", refused=refused, duration_ms=round(duration_ms))
+
     def set_readiness(self, ready: bool) -> None:
         """Use `ready` as the answer to health checks, and report it to the registry."""
         self.listener.ready = ready
