Test kit: a pool that ignores polls has answered the first of its link

`ScriptedWorkerPool.ignore_polls` could come before that; then the pool answered no poll of that link, the server sent no command, and the test ended after 20 s with `queue.Empty`. The stand-in was at fault, not the served code.

Change: `ignore_polls` waits until a poll of the current link is answered, for 20 s at most, with an error that says so. A pool may answer the first poll late. No bound is raised. None assumes a link that is ready.

Failed before: test_a_pool_that_ignores_polls_has_answered_the_first_of_its_link, with the wait taken out.

--- a/testkit/fakes/peers.py
+++ b/testkit/fakes/peers.py
@@ -121,9 +121,12 @@
     Notices are kept, and those that the server has not read are sent again on its next connection.
     """
 
-    def __init__(self, cold: bool = False, up: bool = True) -> None:
-        """Start listening; `bind` is answered once `up` is set."""
+    def __init__(self, cold: bool = False, up: bool = True, first_poll_delay_s: float = 0.0) -> None:
+        """Start listening; `bind` is answered once `up` is set, the first poll of a link after a delay."""
         self.cold = cold
+        self.first_poll_delay_s = first_poll_delay_s
+        self.link_ready = threading.Event()
+        """Set once a poll of the current link is answered: the server sends no command before."""
         self.notices: list[dict[str, Any]] = []
         self.last_number = 0
         self.sock: socket.socket | None = None
@@ -141,8 +144,12 @@
             if message["type"] == "poll":
                 if not self.answers_polls:
                     continue
+                if not self.link_ready.is_set():
+                    time.sleep(self.first_poll_delay_s)
                 self.send({"type": "polled", "ref": message["ref"], "gauges": [0.2, 0]})
                 self.answered_polls += 1
+                if sock is self.sock:
+                    self.link_ready.set()
                 continue
             if message["type"] == "bind":
                 self._bind(sock, message["n"])
@@ -156,6 +163,7 @@
         self.up.wait()
         self.sock = sock
         self.answers_polls = True
+        self.link_ready.clear()
         self.send({"type": "bound", "state": "chilly" if self.cold else "hot", "took": STARTED_MS_AGO})
         for notice in self.notices:
             if notice["n"] > last_read_number:
@@ -185,7 +193,11 @@
         self.notify("blocked", job, data=base64.b64encode(data).decode())
 
     def ignore_polls(self) -> None:
-        """Answer no poll until the next connection is bound, so that no command is confirmed."""
+        """Answer no poll until the next connection is bound, so that no command is confirmed.
+
+        Waits until the first poll of the current connection is answered, as the server uses none before.
+        """
+        assert self.link_ready.wait(WAIT_TIMEOUT_S), "the server has sent no poll on its connection"
         self.answers_polls = False
 
     def disconnect(self) -> None:
--- a/tests/testkit/test_fake_worker_pool.py
+++ b/tests/testkit/test_fake_worker_pool.py
@@ -1,12 +1,13 @@
-"""Guards that the fake worker pool follows the protocol for links and notice numbers."""
+"""Guards that the fake worker pools follow the protocol for links, polls and notice numbers."""
 
 import base64
 import json
 import socket
 
 import pytest
+from helpers import ServerProcess
 
-from testkit.fakes.peers import WAIT_TIMEOUT_S
+from testkit.fakes.peers import WAIT_TIMEOUT_S, ScriptedWorkerPool
 from testkit.fakes.schedule import StepSchedule
 from testkit.fakes.worker_pool import FakeWorkerPool
 
@@ -80,3 +81,19 @@
     second.spawn("new", "three", 300.0)  # longer than the remaining time of the old run
     notice = second.receive()
     assert (notice["n"], notice["job"]) == (1, "new")
+
+
+def test_a_pool_that_ignores_polls_has_answered_the_first_of_its_link(tmp_path):
+    # Guards against issue 56: the server never uses a link whose first poll is not answered.
+    with ServerProcess(tmp_path, pool=ScriptedWorkerPool(first_poll_delay_s=0.3)) as server:
+        client = server.connect_client()
+        server.pool.ignore_polls()
+        job = client.request(1)
+        assert server.pool.take("spawn")[1]["job"] == job
+        server.pool.disconnect()
+        server.pool.take("bind")
+        server.pool.ignore_polls()
+        server.pool.finish(job)
+        assert client.receive()["id"] == 1
+        client.request(2)
+        server.pool.take("spawn")
