Clients: a repeat by key is looked up also where 64 requests of its connection are open

Cause: the limit on open requests was checked before a request was decoded, so its key was never looked up.

Change: a request with a key beyond the limit is passed on, and rejected there only if it repeats no request; so up to 128 are open. Beyond that it is failed (`failed_over_open`), which promises nothing. Requests without a key are rejected as before.

--- a/tests/server/test_server_clients.py
+++ b/tests/server/test_server_clients.py
@@ -264,3 +264,38 @@
         server.pool.finish(job)
     assert sorted(client.receive()["id"] for _ in range(3)) == [1, 2, 3]
     assert content_value in [message["data"] for message in started]
+
+
+def test_a_repeat_of_a_request_that_ran_is_not_rejected_over_the_limit_on_open_requests(server):
+    # Guards against review/6: with 64 open requests, a keyed request that had run was told that it never ran.
+    client = server.connect_client()
+    keys = [f"{number:032x}" for number in range(4)]
+    ended, hanging = (client.request(number + 1, "pay", unique=keys[number]) for number in range(2))
+    for _ in range(2):
+        server.pool.take("spawn")
+    server.pool.finish(ended, b"paid")
+    assert content(client.receive()) == b"paid"
+    for rpc_id in range(10, 73):  # with `hanging`, 64 requests are open
+        client.request(rpc_id)
+    client.request(100, "pay", txn="d1", unique=keys[0])
+    assert content(client.receive()) == b"paid"  # the result of the first attempt
+    client.request(101, "pay", txn="d2", unique=keys[2])  # it repeats nothing
+    assert client.receive()["error"]["code"] == -32050
+    client.request(102, "pay", txn="d3", unique=keys[1])  # waits for the run of its original
+    client.request(103, txn="d4")
+    answer = client.receive()
+    assert (answer["id"], answer["error"]["code"]) == (103, -32050)
+    server.pool.finish(hanging, b"paid late")
+    assert sorted(client.receive()["id"] for _ in range(2)) == [2, 102]
+
+
+def test_repeats_far_beyond_the_limit_on_open_requests_are_failed_which_promises_nothing(server):
+    client = server.connect_client()
+    client.request(1, "pay", unique=IDEMPOTENCY_KEY)
+    server.pool.take("spawn")
+    for rpc_id in range(2, 65):
+        client.request(rpc_id)
+    for rpc_id in range(65, 130):
+        client.request(rpc_id, "pay", txn=f"d{rpc_id}", unique=IDEMPOTENCY_KEY)
+    answer = client.receive()
+    assert (answer["id"], answer["error"]["code"]) == (129, -32051)
--- a/vetchford/protocol/json_rpc.py
+++ b/vetchford/protocol/json_rpc.py
@@ -182,6 +182,11 @@
     raise ValueError(f"{name} is not valid JSON")
 
 
+def has_idempotency_key(params: dict[str, Any]) -> bool:
+    """Return whether a request with these parameters, which are not checked yet, gives a key."""
+    return params.get("unique") is not None
+
+
 def decode_request(params: dict[str, Any], rpc_id: int | str | None, now_unix_ms: float) -> RequestParams:
     """Return the parameters of a request that was read at `now_unix_ms`.
 
--- a/vetchford/protocol/messages.py
+++ b/vetchford/protocol/messages.py
@@ -20,3 +20,4 @@
     memory_kb: float
     idempotency_key: str | None
     content: str  # body, in base64
+    over_open_limit: bool = False  # its connection has as many open requests as it may have
--- a/vetchford/server/client_messages.py
+++ b/vetchford/server/client_messages.py
@@ -103,11 +103,8 @@
             )
         if not isinstance(rpc_id, int):
             raise json_rpc.BadFieldError("id", "must be an integer", rpc_id, json_rpc.INVALID_REQUEST)
-        if len(client.open_requests) >= connection_limits.MAX_OPEN_REQUESTS:
-            # Not a bad message: the server is not told when a client abandons a request, so a client that
-            # abandoned many requests may send as many again.
-            self.target.metrics.increment("rejected_over_open")
-            client.reply(json_rpc.rejected(rpc_id, False, 0.0))
+        over_open_limit = len(client.open_requests) >= connection_limits.MAX_OPEN_REQUESTS
+        if over_open_limit and self._answer_over_open_limit(client, rpc_id, params):
             return
         request = json_rpc.decode_request(params, rpc_id, unix_time_ms())
         tenant = NO_TENANT if request.tenant is None else self.target.tenants.get(request.tenant)
@@ -128,6 +125,23 @@
             memory_kb=request.memory_kb,
             idempotency_key=request.idempotency_key,
             content=request.content,
+            over_open_limit=over_open_limit,
         )
         admission = self.target.admission
         admission.post_when_room(admission.request_arrived, client, incoming)
+
+    def _answer_over_open_limit(self, client: Client, rpc_id: int, params: dict[str, Any]) -> bool:
+        """Answer a request beyond the limit on open requests, unless its key must be looked up first.
+
+        Not a bad message: the server is not told when a client abandons a request, so a client that abandoned
+        many requests may send as many again. A repeat of a request that ran must not be rejected.
+        """
+        if not json_rpc.has_idempotency_key(params):
+            self.target.metrics.increment("rejected_over_open")
+            client.reply(json_rpc.rejected(rpc_id, False, 0.0))
+            return True
+        if len(client.open_requests) >= connection_limits.MAX_OPEN_WITH_REPEATS:
+            self.target.metrics.increment("failed_over_open")
+            client.reply(json_rpc.failed(rpc_id))
+            return True
+        return False
--- a/vetchford/server/connection_limits.py
+++ b/vetchford/server/connection_limits.py
@@ -9,6 +9,8 @@
 
 # Twice the 32 that a client may have open, as a request that its client abandoned stays open until answered.
 MAX_OPEN_REQUESTS = 64
+# The same with repeats by key, whose originals are looked up: one that has run must not be rejected.
+MAX_OPEN_WITH_REPEATS = 128
 # Replies to health checks and bad messages that wait to be written. With more, the client is not reading.
 MAX_UNWRITTEN_REPLIES = 64
 # For each connection. Clients normally send none, and reading one costs as much as reading a good message.
--- a/vetchford/server/request_admission.py
+++ b/vetchford/server/request_admission.py
@@ -46,6 +46,10 @@
         if client.is_gone():
             self.metrics.increment("callers_gone_unread")
             return
+        if request.over_open_limit and not self._repeats_an_original(request):
+            self.metrics.increment("rejected_over_open")
+            client.answer(request.rpc_id, json_rpc.rejected(request.rpc_id, False, 0.0))
+            return
         if not self._is_id_in_use(request.request_id):
             self._admit(controller, client, request)
             return
@@ -123,6 +127,10 @@
         controller.request_arrived(now_ms, arrival)
         self.actions.arriving_index = None
 
+    def _repeats_an_original(self, request: IncomingRequest) -> bool:
+        key = qualified_key(request)
+        return self.idempotency_cache.find_original(key, request.arrived_at_unix_ms) is not None
+
     def _is_id_in_use(self, request_id: str) -> bool:
         if self.requests.find(request_id) is not None:
             return True
