Fleet rollouts: undoing one leaves an instance stopped that was stopped before it

Cause: on the way back `FleetRollout.step_kind` looked only for a `start` at whether the instance had been wanted; a roll, a restart and a stop that were undone started it. Evidence: the agent's log of the case, roll-1/n2/2 "was=stopped now=starting".

Change: the step back of an instance that was not wanted is a stop. Messages and records keep their form.

--- a/tests/fleet/test_rollout_model.py
+++ b/tests/fleet/test_rollout_model.py
@@ -482,3 +482,15 @@
             controller.on_health_check(now, "a", True)
         controller.on_tick(now)
     assert host.versions() == expected and controller.rollouts["r"].state == RolloutState.FINISHED
+
+
+def test_a_stop_that_names_a_version_leaves_the_instance_stopped_with_it():
+    # Guards against review/8: an instance that was stopped before a roll kept the version of the undone roll.
+    host, controller = start_all_serving("a")
+    controller.manager.instances["a"].version = "v2"
+    controller.submit(20.0, Rollout("undo", "stop", ["a"], "v1"))
+    host.processes.clear()
+    controller.on_process_exit(30.0, "a", 0)
+    controller.on_tick(40.0)
+    instance = controller.manager.instances["a"]
+    assert (instance.wanted, instance.version) == (False, "v1") and not host.processes
--- a/vetchford/fleet/fleet_record.py
+++ b/vetchford/fleet/fleet_record.py
@@ -133,14 +133,14 @@
         """Return the kind of the local rollout for one instance, also while the fleet rollout rolls back."""
         if not self.rolling_back:
             return self.kind
-        if self.kind == "start":
-            was_wanted = self.previous_states[key][1]
-            return "start" if was_wanted else "stop"
+        was_wanted = self.previous_states[key][1]
+        if not was_wanted:  # whatever the rollout did, the instance had no process before it
+            return "stop"
         return "start" if self.kind == "stop" else self.kind
 
     def step_version(self, key: str) -> str:
-        """Return the version to roll one instance to; empty if the step is not a roll."""
-        if self.step_kind(key) != "roll":
+        """Return the version that one instance is to have after its step; empty if the rollout is no roll."""
+        if self.kind != "roll":
             return ""
         previous_version: str = self.previous_states[key][0]
         return previous_version if self.rolling_back else self.version
--- a/vetchford/fleet/rollout.py
+++ b/vetchford/fleet/rollout.py
@@ -90,7 +90,7 @@
     id: str
     kind: str  # a RolloutKind once the request is validated
     targets: list[str]
-    version: str = ""  # to roll to
+    version: str = ""  # to roll to; of a stop, for the next start (empty: unchanged)
     batch: int = 1  # maximum number of instances in progress at once
     minimum_available: int = 0  # instances of the targets' groups that must serve at any time
     start_spacing_ms: float = 0.0  # between two starts, as each new process is slow at first
--- a/vetchford/fleet/rollout_executor.py
+++ b/vetchford/fleet/rollout_executor.py
@@ -110,6 +110,8 @@
         if rollout.kind == RolloutKind.ROLL:
             previous = rollout.previous_versions[instance.name]
             version = previous if rolling_back else rollout.version
+        elif rollout.kind == RolloutKind.STOP and rollout.version:  # undoes the roll of a stopped instance
+            version = rollout.version
         return DesiredState(rollout.kind != RolloutKind.STOP and not remains_stopped, version)
 
     def _next_instance(self, now_ms: float, rollout: Rollout) -> Instance | None:
