Tests: a request that is to arrive while the pool's link is down waits until the server knows so

Seen: 2 of 31 runs of tests/server/test_unconfirmed_command_races.py failed beside load, in test_a_command_that_was_not_written_is_sent_on_the_next_link_whatever_its_effect, with `queue.Empty` after 20 s.

Cause, by the log of a failed run beside ten busy processes: the first start was written to the broken link before the server had noticed (`pool_write_failed` EPIPE, then `pool_link_lost`), so it counts as unconfirmed and is rightly not sent again (`pool_commands_unconfirmed` not_sent_again=1). The test assumed that `disconnect` is noticed at once; the served code was right.

Change: it waits for `pool_link_lost`, bounded. What it checks is as before.

--- a/tests/server/test_unconfirmed_command_races.py
+++ b/tests/server/test_unconfirmed_command_races.py
@@ -296,6 +296,8 @@
     client = server.connect_client()
     server.pool.up.clear()  # links are accepted, but nothing is answered on them
     server.pool.disconnect()
+    # A command that meets the broken link before that may have been written to it, and is not sent again.
+    wait_until(lambda: "pool_link_lost" in "".join(server.log), "the server knows that the link is down")
     jobs = {client.request(1, PAY, unique=IDEMPOTENCY_KEY), client.request(2, ORDER)}
     client.request(3, READ, limit=1)
     assert client.receive()["id"] == 3  # the first two were admitted by then
