Idle refusals and client messages: what is forgotten stands with its watch; one step a function

Change: no behaviour. `IdleRefusals.forget_if_overdue` holds what the controller did; `_incoming_request` builds the message.

--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -111,7 +111,13 @@
     },
     "admission.events": {"admission.request"},
     "admission.health": {"admission.actions", "admission.workload"},
-    "admission.idle_refusals": {"admission.health", "admission.rejection", "admission.workload"},
+    "admission.idle_refusals": {
+        "admission.actions",
+        "admission.health",
+        "admission.rejection",
+        "admission.retry_objective",
+        "admission.workload",
+    },
     "admission.idle_timeout": {"admission.actions", "admission.traffic"},
     "admission.in_flight_bytes": set(),
     "admission.lifecycle": {
--- a/vetchford/admission/controller.py
+++ b/vetchford/admission/controller.py
@@ -63,14 +63,14 @@
         self.dependency_calls = DependencyCalls(actions, workload, capacity, self.health)
         self.scheduler = Scheduler(actions, workload, capacity, self.health, self.estimate, self.lifecycle)
         self.unconfirmed_commands = UnconfirmedCommands(self.health)
-        self.idle_refusals = IdleRefusals(workload, self.health)
+        self.idle_refusals = IdleRefusals(actions, workload, self.health, self.retry_objective)
         self.capacity.attach(workload)
         self.actions.set_readiness(True)
         self.actions.schedule_tick(TICK_MS)
 
     def request_arrived(self, now_ms: float, arrival: RequestArrival) -> None:
         """Admit an arriving request, reject it, or answer a repeat with the result of its original."""
-        self._forget_if_idle(now_ms, arrival.class_index)
+        self.idle_refusals.forget_if_overdue(now_ms, arrival.class_index, self.estimate.cores_busy)
         request = self._count_arrival(now_ms, arrival)
         reason = self.checks.reason_not_to_serve(now_ms, request)
         original = arrival.original
@@ -194,21 +194,6 @@
         self._update_advice()
         self.scheduler.dispatch(now_ms)
 
-    def _forget_if_idle(self, now_ms: float, class_index: int) -> None:
-        """Forget what was learned if it refuses all requests, or all of this class, while cores are free."""
-        refusals = self.idle_refusals
-        cores_busy = self.estimate.cores_busy
-        if refusals.are_overdue(now_ms, cores_busy):
-            self.workload.forget_measurements()
-        elif refusals.are_overdue_of_class(now_ms, class_index, cores_busy):
-            self.workload.classes[class_index].forget_run_times()
-        else:
-            return
-        self.retry_objective.forget_measurements()
-        period = refusals.of_class[class_index]
-        self.actions.report_idle_refusals(period.count, now_ms - period.since_ms)
-        refusals.admitted(class_index)
-
     def _count_arrival(self, now_ms: float, arrival: RequestArrival) -> Request:
         request_class = self.workload.classes[arrival.class_index]
         times = self.retry_objective.times(now_ms, arrival, request_class, self.health.latest_deadline_ms)
--- a/vetchford/admission/idle_refusals.py
+++ b/vetchford/admission/idle_refusals.py
@@ -2,8 +2,10 @@
 
 import math
 
+from vetchford.admission.actions import AdmissionActions
 from vetchford.admission.health import Health
 from vetchford.admission.rejection import RejectionReason
+from vetchford.admission.retry_objective import RetryObjective
 from vetchford.admission.workload import Workload
 
 MAX_REFUSAL_MS = 2000.0
@@ -42,10 +44,18 @@
     them, whatever had moved them so far; then they are to be forgotten.
     """
 
-    def __init__(self, workload: Workload, health: Health) -> None:
-        """Start without refusals."""
+    def __init__(
+        self,
+        actions: AdmissionActions,
+        workload: Workload,
+        health: Health,
+        retry_objective: RetryObjective,
+    ) -> None:
+        """Start without refusals; `workload` and `retry_objective` hold what can be forgotten."""
+        self.actions = actions
         self.workload = workload
         self.health = health
+        self.retry_objective = retry_objective
         self.of_all = RefusalPeriod()
         self.of_class = [RefusalPeriod() for _ in workload.classes]
 
@@ -60,7 +70,23 @@
             self.of_all.refused(now_ms)
             self.of_class[class_index].refused(now_ms)
 
-    def are_overdue(self, now_ms: float, cores_busy: bool) -> bool:
+    def forget_if_overdue(self, now_ms: float, class_index: int, cores_busy: bool) -> None:
+        """Forget what was learned if it refuses all requests, or all of this class, while cores are free.
+
+        Called as a request of the class arrives, before the request is checked.
+        """
+        if self._are_overdue(now_ms, cores_busy):
+            self.workload.forget_measurements()
+        elif self._are_overdue_of_class(now_ms, class_index, cores_busy):
+            self.workload.classes[class_index].forget_run_times()
+        else:
+            return
+        self.retry_objective.forget_measurements()
+        period = self.of_class[class_index]
+        self.actions.report_idle_refusals(period.count, now_ms - period.since_ms)
+        self.admitted(class_index)
+
+    def _are_overdue(self, now_ms: float, cores_busy: bool) -> bool:
         """Return whether all requests were refused for too long, and the server is idle."""
         if not self.of_all.is_overdue(now_ms) or cores_busy:
             return False
@@ -69,7 +95,7 @@
             return False
         return self._has_free_slots()
 
-    def are_overdue_of_class(self, now_ms: float, class_index: int, cores_busy: bool) -> bool:
+    def _are_overdue_of_class(self, now_ms: float, class_index: int, cores_busy: bool) -> bool:
         """Return whether all requests of a class were refused for too long, with cores free for them."""
         return self.of_class[class_index].is_overdue(now_ms) and not cores_busy and self._has_free_slots()
 
--- a/vetchford/server/client_messages.py
+++ b/vetchford/server/client_messages.py
@@ -111,22 +111,8 @@
         if tenant is None:
             raise json_rpc.UnknownTenantError(rpc_id)
         client.open_requests.add(rpc_id)
-        incoming = IncomingRequest(
-            rpc_id=rpc_id,
-            request_id=request.request_id,
-            request_class=request_class,
-            method=method,
-            tenant=tenant,
-            client_number=client.number,
-            arrived_at_unix_ms=request.arrived_at_unix_ms,
-            unread_since_unix_ms=client.unread_since_unix_ms,
-            client_timeout_ms=request.client_timeout_ms,
-            work_ms=request.work_ms,
-            memory_kb=request.memory_kb,
-            idempotency_key=request.idempotency_key,
-            content=request.content,
-            over_open_limit=over_open_limit,
-        )
+        incoming = _incoming_request(client, rpc_id, method, request_class, tenant, request)
+        incoming.over_open_limit = over_open_limit
         admission = self.target.admission
         admission.post_when_room(admission.request_arrived, client, incoming)
 
@@ -145,3 +131,24 @@
             client.reply(json_rpc.failed(rpc_id))
             return True
         return False
+
+
+def _incoming_request(
+    client: Client, rpc_id: int, method: str, request_class: int, tenant: int, request: json_rpc.RequestParams
+) -> IncomingRequest:
+    """Return a request for the admission actor, with its class and tenant as indices."""
+    return IncomingRequest(
+        rpc_id=rpc_id,
+        request_id=request.request_id,
+        request_class=request_class,
+        method=method,
+        tenant=tenant,
+        client_number=client.number,
+        arrived_at_unix_ms=request.arrived_at_unix_ms,
+        unread_since_unix_ms=client.unread_since_unix_ms,
+        client_timeout_ms=request.client_timeout_ms,
+        work_ms=request.work_ms,
+        memory_kb=request.memory_kb,
+        idempotency_key=request.idempotency_key,
+        content=request.content,
+    )
