Tests: calls of the unconfirmed-command races are not cut off while the test acts

Cause: with a share of 0.2 calls the settings of the test cut a call off after 0.1 s, by design; a busy machine took longer between the call and the reply that the test sends. Shown by a pause of 0.15 s before the reply: the same failure.

Change: the fixture has a share of three calls, so no call is cut off. No bound is moved, and what is checked is as before.

--- a/tests/server/test_unconfirmed_command_races.py
+++ b/tests/server/test_unconfirmed_command_races.py
@@ -36,7 +36,8 @@
 def server(tmp_path):
     """Run a server with a class of each effect."""
     classes = [*SETTINGS["requestClasses"], ORDER_CLASS]
-    family = {**SETTINGS["familyInfo"], "classSkipWorth": [0.3, 0.0, 0.0]}
+    # With a share of under one call, a call would be cut off after 0.1 s, and its reply not passed on.
+    family = {**SETTINGS["familyInfo"], "classSkipWorth": [0.3, 0.0, 0.0], "depShare": 3.0}
     with ServerProcess(tmp_path, requestClasses=classes, familyInfo=family) as running:
         yield running
 
